Set down the core types, the ports and the glossary

The root package holds types, ports and their errors; DESIGN.md says how each part keeps to ports and adapters, the worker pool and the lock order.

--- /dev/null
+++ b/config.go
@@ -0,0 +1,288 @@
+package dragonflypass
+
+import (
+	"net/netip"
+	"time"
+)
+
+// Offset is a position in a stream of the platform's log; the first record has offset 1.
+type Offset uint64
+
+// Section is a part of the configuration whose items are versioned one by one.
+type Section string
+
+// The sections of the configuration.
+const (
+	SectionRank    Section = "rank"
+	SectionAccount Section = "account"
+	SectionModel   Section = "model"
+	SectionService Section = "service"
+	SectionServer  Section = "server"
+	SectionSheet   Section = "sheet"
+)
+
+// ItemKey names one item of the configuration.
+type ItemKey struct {
+	Section Section
+	Name    string
+}
+
+// Item is the content of one configuration item; exactly one field is set.
+type Item struct {
+	Rank    *RankPolicy
+	Account *ClientAccount
+	Model   *Model
+	Service *Service
+	Server  *BackendServer
+	Sheet   *Sheet
+}
+
+// Edit replaces or removes one item of the configuration.
+type Edit struct {
+	Key ItemKey
+	// Base is the offset of the change that made the version this edit was based on, zero for none.
+	Base Offset
+	// Item is nil when the edit removes the item.
+	Item *Item
+}
+
+// Change is a set of edits that takes effect as a whole or not at all.
+type Change struct {
+	// ID is chosen by the author and tells a change from its repetitions.
+	ID     string
+	Author string
+	At     time.Time
+	Edits  []Edit
+}
+
+// Versioned is an item with the offset of the change that made it.
+type Versioned struct {
+	Key     ItemKey
+	Version Offset
+	Item    Item
+}
+
+// Snapshot is the whole configuration as of one offset.
+type Snapshot struct {
+	Upto  Offset
+	Items []Versioned
+	// Recent lists the identifiers of the latest changes, so that repetitions are still known.
+	Recent []Verdict
+}
+
+// Verdict is how the log's order decided on a change.
+type Verdict struct {
+	ID       string
+	Author   string
+	Offset   Offset
+	At       time.Time
+	Accepted bool
+	// Conflict names the first item whose version had moved on, when the change was rejected.
+	Conflict ItemKey
+	// Winner is the offset of the change that the rejected one lost to.
+	Winner Offset
+}
+
+// Sheet is one day's plan: maintenance windows, capacity and priorities.
+type Sheet struct {
+	Day        string
+	Windows    []Window
+	Capacities []Capacity
+	Priorities []Priority
+}
+
+// Window is a time in which a VM or a backend server is taken down.
+type Window struct {
+	// Name is the identifier of an entry VM or of a backend server.
+	Name  string
+	Zone  AvailabilityZone
+	Start time.Time
+	End   time.Time
+}
+
+// Capacity limits the batch slots of a backend server for a time.
+type Capacity struct {
+	Server ServerID
+	Slots  int
+	Start  time.Time
+	End    time.Time
+}
+
+// Priority changes the weight of a client account for a time.
+type Priority struct {
+	Account AccountID
+	Weight  float64
+	Start   time.Time
+	End     time.Time
+}
+
+// Record is one entry of a log stream; exactly one field is set.
+type Record struct {
+	Change   *Change
+	Snapshot *Snapshot
+	Claim    *Claim
+	End      *ClaimEnd
+	Copy     *ClaimCopy
+}
+
+// Entry is a record at its place in the log.
+type Entry struct {
+	Offset Offset
+	At     time.Time
+	Record Record
+}
+
+// Page is a run of entries read from a log stream.
+type Page struct {
+	// First is the lowest offset that the log still keeps.
+	First Offset
+	// Next is the offset that the next append to the stream will get.
+	Next    Offset
+	Entries []Entry
+}
+
+// Stream names a stream of the platform's log.
+type Stream string
+
+// StreamConfig is the stream of configuration changes and snapshots.
+const StreamConfig Stream = "config"
+
+// StreamClaims is the prefix of the streams of claims, one for each shard.
+const StreamClaims Stream = "claims"
+
+// PlatformVM is a line of the platform's list of VMs.
+type PlatformVM struct {
+	ID      VMID
+	Zone    AvailabilityZone
+	Peer    netip.AddrPort
+	Leaving bool
+}
+
+// Configuration is the whole configuration in force as of one offset; it is never changed once made.
+type Configuration struct {
+	Offset   Offset
+	Items    []Versioned
+	Ranks    [RankCount]RankPolicy
+	Accounts map[AccountID]*ClientAccount
+	Models   map[ModelID]*Model
+	Services map[ServiceID]*Service
+	Servers  map[ServerID]*BackendServer
+	Sheets   []*Sheet
+	// Keys finds the client account of a bearer key's sum.
+	Keys map[Digest]AccountID
+
+	servers    map[ModelID][]*BackendServer
+	windows    map[string][]Window
+	capacities map[ServerID][]Capacity
+	priorities map[AccountID][]Priority
+}
+
+// DefaultRanks returns the targets of ranks that the configuration does not name.
+func DefaultRanks() [RankCount]RankPolicy {
+	return [RankCount]RankPolicy{
+		RankUrgent: {First: 450 * time.Millisecond, Within: 30 * time.Second, Floor: 0.5},
+		RankNormal: {First: 2 * time.Second, Within: 2 * time.Minute, Floor: 0.2},
+		RankBulk:   {First: time.Minute, Within: 12 * time.Hour, Floor: 0.1},
+	}
+}
+
+// NewConfiguration builds the configuration made of the items, which are kept in the order of their keys.
+func NewConfiguration(offset Offset, items []Versioned) *Configuration {
+	c := &Configuration{
+		Offset:   offset,
+		Items:    items,
+		Ranks:    DefaultRanks(),
+		Accounts: make(map[AccountID]*ClientAccount),
+		Models:   make(map[ModelID]*Model),
+		Services: make(map[ServiceID]*Service),
+		Servers:  make(map[ServerID]*BackendServer),
+		Keys:     make(map[Digest]AccountID),
+
+		servers:    make(map[ModelID][]*BackendServer),
+		windows:    make(map[string][]Window),
+		capacities: make(map[ServerID][]Capacity),
+		priorities: make(map[AccountID][]Priority),
+	}
+	for i := range items {
+		c.add(&items[i])
+	}
+	return c
+}
+
+func (c *Configuration) add(v *Versioned) {
+	switch {
+	case v.Item.Rank != nil:
+		if rank, ok := ParseRank(v.Key.Name); ok {
+			c.Ranks[rank] = *v.Item.Rank
+		}
+	case v.Item.Account != nil:
+		c.Accounts[v.Item.Account.ID] = v.Item.Account
+		for _, key := range v.Item.Account.Keys {
+			c.Keys[key] = v.Item.Account.ID
+		}
+	case v.Item.Model != nil:
+		c.Models[v.Item.Model.ID] = v.Item.Model
+	case v.Item.Service != nil:
+		c.Services[v.Item.Service.ID] = v.Item.Service
+	case v.Item.Server != nil:
+		c.Servers[v.Item.Server.ID] = v.Item.Server
+		for _, model := range v.Item.Server.Models {
+			c.servers[model] = append(c.servers[model], v.Item.Server)
+		}
+	case v.Item.Sheet != nil:
+		c.Sheets = append(c.Sheets, v.Item.Sheet)
+		c.index(v.Item.Sheet)
+	}
+}
+
+// index files a sheet's rows under the names they concern.
+func (c *Configuration) index(sheet *Sheet) {
+	for _, row := range sheet.Windows {
+		c.windows[row.Name] = append(c.windows[row.Name], row)
+	}
+	for _, row := range sheet.Capacities {
+		c.capacities[row.Server] = append(c.capacities[row.Server], row)
+	}
+	for _, row := range sheet.Priorities {
+		c.priorities[row.Account] = append(c.priorities[row.Account], row)
+	}
+}
+
+// ServersOf returns the backend servers that are declared to run the model.
+func (c *Configuration) ServersOf(model ModelID) []*BackendServer { return c.servers[model] }
+
+// Closing returns the start of the first window of the VM or server that has not ended, zero when there is none.
+func (c *Configuration) Closing(name string, now time.Time) time.Time {
+	var first time.Time
+	for _, w := range c.windows[name] {
+		if w.End.After(now) && (first.IsZero() || w.Start.Before(first)) {
+			first = w.Start
+		}
+	}
+	return first
+}
+
+// Slots returns the batch slots of the server at the instant, after the sheet's capacity rows.
+func (c *Configuration) Slots(server *BackendServer, now time.Time) int {
+	slots := server.Slots
+	for _, row := range c.capacities[server.ID] {
+		if !row.Start.After(now) && row.End.After(now) {
+			slots = min(slots, row.Slots)
+		}
+	}
+	return slots
+}
+
+// Weight returns the account's share within its rank at the instant, after the sheet's priority rows.
+func (c *Configuration) Weight(account *ClientAccount, now time.Time) float64 {
+	weight := account.Weight
+	for _, row := range c.priorities[account.ID] {
+		if !row.Start.After(now) && row.End.After(now) {
+			weight = row.Weight
+		}
+	}
+	if weight <= 0 {
+		return 1
+	}
+	return weight
+}
--- /dev/null
+++ b/permit.go
@@ -0,0 +1,82 @@
+package dragonflypass
+
+import (
+	"net/netip"
+	"time"
+)
+
+// PermitRequest asks the owner of backend servers for leave to run a stream on one of them.
+type PermitRequest struct {
+	Stream  StreamID
+	Account AccountID
+	// Weight is the account's share within its rank.
+	Weight       float64
+	Model        ModelID
+	Rank         Rank
+	PromptTokens int
+	// OutputTokens is the largest number of tokens to generate.
+	OutputTokens int
+	// ExpectedTokens is the number of tokens that is likely to be generated.
+	ExpectedTokens int
+	Fingerprint    Fingerprint
+	Deadline       time.Time
+	// LatestStart is the instant after which the request cannot end by its deadline.
+	LatestStart time.Time
+	// Target is the instant by which the first token is due.
+	Target time.Time
+	// Breaks counts the streams of this request that broke at a backend server.
+	Breaks int
+	// Exclude names servers on which the request has failed.
+	Exclude []ServerID
+	// Only names the one server that may run the stream, empty for any.
+	Only ServerID
+}
+
+// Tokens returns the tokens of server memory that the request may need at most.
+func (r *PermitRequest) Tokens() int { return r.PromptTokens + r.OutputTokens }
+
+// Permit is leave to run one stream on one backend server; the stream's identifier names it.
+type Permit struct {
+	Stream  StreamID
+	Owner   VMID
+	Server  ServerID
+	Address netip.AddrPort
+	// Priority is the engine's priority for the stream, lower values running first.
+	Priority int
+}
+
+// PermitRelease returns a permit with what is known of the stream's end.
+type PermitRelease struct {
+	Stream StreamID
+	Server ServerID
+	// OutputTokens is the number of tokens that were generated.
+	OutputTokens int
+	Outcome      StreamOutcome
+}
+
+// HeldStream is a stream that an entry VM has open at a backend server.
+type HeldStream struct {
+	Stream StreamID
+	Server ServerID
+	// Tokens is the KV memory that the stream may need at most, in tokens.
+	Tokens      int
+	Fingerprint Fingerprint
+	Rank        Rank
+	Account     AccountID
+	Deadline    time.Time
+}
+
+// StreamOutcome is how a stream at a backend server ended.
+type StreamOutcome uint8
+
+// The outcomes of a stream.
+const (
+	// OutcomeDone means that the server ended the stream.
+	OutcomeDone StreamOutcome = iota
+	// OutcomeUnsent means that nothing ran at the server.
+	OutcomeUnsent
+	// OutcomeCancelled means that the server confirmed the stream's cancellation.
+	OutcomeCancelled
+	// OutcomeLost means that the stream's end is not known and the server may still hold it.
+	OutcomeLost
+)
--- /dev/null
+++ b/ports.go
@@ -0,0 +1,208 @@
+package dragonflypass
+
+import (
+	"context"
+	"net/netip"
+	"time"
+)
+
+// Timer tells the time and runs jobs at their times on the pool of workers.
+type Timer interface {
+	// Now returns the current instant.
+	Now() time.Time
+	// Every runs the job each period until stop is called; runs of one job do not overlap.
+	Every(kind JobKind, period time.Duration, job func(context.Context)) (stop func())
+	// At runs the job once at the instant unless stop is called before.
+	At(kind JobKind, when time.Time, job func(context.Context)) (stop func())
+	// WithDeadline returns a context that ends at the instant.
+	WithDeadline(ctx context.Context, when time.Time) (context.Context, context.CancelFunc)
+}
+
+// JobKind names a kind of work of the pool, by which it is counted and shed.
+type JobKind string
+
+// The kinds of jobs.
+const (
+	JobHeartbeat JobKind = "heartbeat"
+	JobConfig    JobKind = "config"
+	JobReport    JobKind = "report"
+	JobClaim     JobKind = "claim"
+	JobMembers   JobKind = "members"
+	JobCancel    JobKind = "cancel"
+	JobSweep     JobKind = "sweep"
+	JobPeer      JobKind = "peer"
+)
+
+// Pool runs jobs on a fixed number of workers.
+type Pool interface {
+	// Submit queues the job and reports whether there was room for its kind.
+	Submit(kind JobKind, job func(context.Context)) bool
+}
+
+// Log is the platform's append-only log.
+type Log interface {
+	// Append adds the record and returns its offset.
+	// It returns ErrUncertain when the record may have been added.
+	Append(ctx context.Context, stream Stream, record Record) (Offset, error)
+	// Read returns up to limit entries from the offset on.
+	// It returns ErrTrimmed, with First set in the page, when the offset is no longer kept.
+	Read(ctx context.Context, stream Stream, from Offset, limit int) (Page, error)
+}
+
+// Directory is the platform's lagging list of VMs.
+type Directory interface {
+	// VMs returns the live and leaving VMs.
+	VMs(ctx context.Context) ([]PlatformVM, error)
+}
+
+// Engine is a backend server.
+type Engine interface {
+	// Stream runs a request under the permit and passes each frame to accept, which may stop it by an error.
+	// Errors: ErrUnavailable, ErrRefused (nothing ran), ErrBroken, or the error of accept.
+	Stream(ctx context.Context, call EngineCall, accept func(Frame) error) error
+	// Cancel ends a stream and returns its memory; a stream that the server does not know is no error.
+	Cancel(ctx context.Context, server netip.AddrPort, stream StreamID) error
+	// Report returns the server's lagging report.
+	Report(ctx context.Context, server netip.AddrPort) (ServerReport, error)
+}
+
+// EngineCall is one attempt to run a request at a backend server.
+type EngineCall struct {
+	Permit Permit
+	// Attempt numbers the calls of one stream; frames of another attempt are not the caller's.
+	Attempt int
+	Model   ModelID
+	Prompt  string
+	// Delivered is the answer's text so far, and From its length in tokens.
+	Delivered string
+	From      int
+	// Reconnect continues the stream that the server already runs, rather than starting one.
+	Reconnect bool
+	// OutputTokens is the largest number of tokens of the whole answer.
+	OutputTokens int
+	Deadline     time.Time
+}
+
+// Caller calls plain services.
+type Caller interface {
+	// Call sends the invocation to the endpoint at most once.
+	// Errors: ErrUnavailable, ErrRefused (nothing ran) or ErrUncertain.
+	Call(ctx context.Context, endpoint Endpoint, call Invocation) (Answer, error)
+}
+
+// Peers reaches the other entry VMs.
+type Peers interface {
+	// Acquire waits for a permit of the owner; when ctx ends the request is withdrawn.
+	Acquire(ctx context.Context, owner VM, request PermitRequest) (Permit, error)
+	// Release returns a permit to its owner.
+	Release(ctx context.Context, owner VM, release PermitRelease) error
+	// Exchange sends a heartbeat and returns the other side's.
+	Exchange(ctx context.Context, to VM, beat Heartbeat) (Heartbeat, error)
+	// Entries returns configuration entries that the other side has from the offset on.
+	Entries(ctx context.Context, to VM, from Offset) (Page, error)
+	// Report tells another entry VM of a backend server that crashed while running the fingerprints.
+	Report(ctx context.Context, to VM, crash Crash) error
+}
+
+// PeerHandler answers the other entry VMs.
+type PeerHandler interface {
+	// Acquire queues a request for a permit of this VM; told is called once unless withdraw is called before.
+	Acquire(request PermitRequest, told func(Permit, error)) (withdraw func())
+	// Release takes a permit back.
+	Release(release PermitRelease)
+	// Exchange takes a heartbeat and returns this VM's own.
+	Exchange(beat Heartbeat) Heartbeat
+	// Entries returns configuration entries from the offset on.
+	Entries(from Offset) Page
+	// Report takes word of a crash.
+	Report(crash Crash)
+}
+
+// Crash tells of a backend server that died and of what it was running.
+type Crash struct {
+	Server ServerID
+	// Epoch is the server's epoch before the crash.
+	Epoch        uint64
+	Fingerprints []Fingerprint
+	At           time.Time
+}
+
+// Placement orders the places at which a request may run.
+type Placement interface {
+	// Order sorts the candidates so that the first is the best.
+	Order(candidates []Candidate)
+}
+
+// Candidate is an owner or a backend server at which a request may run.
+type Candidate struct {
+	// Name is the identifier of the VM or server.
+	Name string
+	// Wait is the predicted time to the start of the request there.
+	Wait time.Duration
+	// Delay is the added network time.
+	Delay time.Duration
+	// Saved is the prompt processing time that a cached prefix is likely to save.
+	Saved time.Duration
+	// Outstanding is the number of requests running there.
+	Outstanding int
+	// Free is the free KV memory in tokens.
+	Free int
+}
+
+// Waiting is a request in an owner's queue.
+type Waiting struct {
+	Request PermitRequest
+	Since   time.Time
+	// Grant is called once with the permit or the refusal, outside all locks.
+	Grant func(Permit, error)
+}
+
+// Queue orders the requests that wait at an owner.
+type Queue interface {
+	// Push adds a request.
+	Push(waiting *Waiting, now time.Time)
+	// Remove takes a request out and reports whether it was there.
+	Remove(waiting *Waiting) bool
+	// Next takes out and returns the first request, in the queue's order, that fit accepts.
+	Next(now time.Time, fit func(*Waiting) bool) *Waiting
+	// Charge counts service in tokens given to a client account's rank.
+	Charge(rank Rank, account AccountID, weight float64, tokens int, now time.Time)
+	// Wait predicts how long a further request would wait when the given number of tokens a second is served.
+	Wait(request *PermitRequest, rate float64, now time.Time) time.Duration
+	// Backlog returns the waiting prompt tokens of the model, up to and including the rank.
+	Backlog(model ModelID, rank Rank) int
+	// Len returns the number of waiting requests.
+	Len() int
+	// Expired takes out and returns the requests whose latest start has passed.
+	Expired(now time.Time) []*Waiting
+	// Sift takes out and returns the requests that keep rejects.
+	Sift(keep func(*Waiting) bool) []*Waiting
+}
+
+// Meter counts events and records durations.
+type Meter interface {
+	// Add adds to a counter.
+	Add(counter Counter, delta int64)
+	// Observe records a duration under a rank and length class.
+	Observe(measure Measure, rank Rank, class LengthClass, span time.Duration)
+}
+
+// Counter names a counter of events.
+type Counter string
+
+// Measure names a recorded duration.
+type Measure string
+
+// Logger writes lines for changes of state.
+type Logger interface {
+	// Info writes a line with key and value pairs.
+	Info(message any, pairs ...any)
+	// Warn writes a line with key and value pairs.
+	Warn(message any, pairs ...any)
+}
+
+// Sink takes a caller's answer frame by frame.
+type Sink interface {
+	// Accept takes the next frame in order; an error ends the request as cancelled.
+	Accept(frame Frame) error
+}
--- /dev/null
+++ b/vm.go
@@ -0,0 +1,61 @@
+package dragonflypass
+
+import (
+	"net/netip"
+	"time"
+)
+
+// VMID names an entry VM.
+type VMID string
+
+// AvailabilityZone names an availability zone.
+type AvailabilityZone string
+
+// MemberState is what is known of an entry VM's life.
+type MemberState uint8
+
+// The states of a member.
+const (
+	MemberLive MemberState = iota
+	MemberSuspect
+	MemberLeaving
+	MemberGone
+)
+
+var memberStateNames = [...]string{"live", "suspect", "leaving", "gone"}
+
+// String returns the state's name in dumps and logs.
+func (s MemberState) String() string { return memberStateNames[s] }
+
+// VM is an entry VM of the system.
+type VM struct {
+	ID   VMID
+	Zone AvailabilityZone
+	// Peer is the address on which other entry VMs reach it.
+	Peer netip.AddrPort
+	// Leaving is set from the moment at which the VM's shutdown began.
+	Leaving bool
+}
+
+// Member is an entry VM as another one sees it.
+type Member struct {
+	VM          VM
+	Incarnation uint64
+	State       MemberState
+	// Heard is the instant of the last heartbeat from the VM, zero when there was none.
+	Heard time.Time
+	// Config is the offset of the configuration in force on the VM.
+	Config Offset
+	// Loads are the loads of the backend servers that the VM owns.
+	Loads []ServerLoad
+}
+
+// Heartbeat is what two entry VMs tell each other periodically.
+type Heartbeat struct {
+	From        VM
+	Incarnation uint64
+	Config      Offset
+	Loads       []ServerLoad
+	// Held lists the sender's open streams at backend servers that the receiver owns.
+	Held []HeldStream
+}
