--- /dev/null
+++ b/core/claimer/claimer.go
@@ -0,0 +1,442 @@
+package claimer
+
+import (
+	"context"
+	"crypto/rand"
+	"errors"
+	"fmt"
+	"slices"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/rotisserie/eris"
+
+	"github.com/dragonflypass/dragonflypass"
+	"github.com/dragonflypass/dragonflypass/core/locker"
+)
+
+// ErrOpen means that a claim cannot be settled because its VM may still send the call.
+var ErrOpen = eris.New("claimer: the claim's VM may still send the call")
+
+const (
+	// logTimeout bounds one call to the log.
+	logTimeout = 2 * time.Second
+	// pageLimit is the largest number of entries read from the log at once.
+	pageLimit = 500
+	// readRetry is the time between two readings while a claim is looked for.
+	readRetry = 100 * time.Millisecond
+	// keepParts is the number of copies of a claim written within the log's retention time.
+	keepParts = 2
+	// copiesAtOnce is the largest number of copies written in one sweep of a shard.
+	copiesAtOnce = 100
+	// overdue is the time after a call's deadline from which an open claim counts as one of unknown outcome.
+	overdue = 5 * time.Second
+	// answerLimit is the largest answer body, in bytes, that is recorded.
+	answerLimit = 64 << 10
+)
+
+// Claimer makes claims and follows the claim streams.
+type Claimer struct {
+	Self        dragonflypass.VMID
+	Incarnation uint64
+	Timer       dragonflypass.Timer
+	Pool        dragonflypass.Pool
+	Log         dragonflypass.Log
+	Meter       dragonflypass.Meter
+	Logger      dragonflypass.Logger
+	// Poll is the time between two readings of each shard.
+	Poll time.Duration
+	// Retention is the time for which the log keeps records.
+	Retention time.Duration
+	// Remember is the time for which a known outcome holds its key.
+	Remember time.Duration
+
+	shards []*shard
+}
+
+// shard is one claim stream with its table.
+type shard struct {
+	stream dragonflypass.Stream
+
+	mutex locker.Mutex
+	fold  *Fold
+	// changed is closed and replaced each time the fold moves.
+	changed chan struct{}
+	// given holds this VM's claims that will not be sent, until the log shows that they are void.
+	given map[dragonflypass.Nonce]given
+	// ends holds outcomes that are not in the log yet.
+	ends []dragonflypass.ClaimEnd
+	// reading is held while the stream is read, so that entries are folded in order.
+	reading chan struct{}
+}
+
+// given is a claim that was given up at the instant.
+type given struct {
+	key dragonflypass.ClaimKey
+	at  time.Time
+}
+
+// give notes that the claim's call will not be sent.
+func (s *shard) give(claim dragonflypass.Claim, now time.Time) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.given[claim.Nonce] = given{key: claim.Key, at: now}
+}
+
+// New returns a claimer over the given number of shards.
+func New(shards int, retention, remember time.Duration) *Claimer {
+	c := &Claimer{Retention: retention, Remember: remember}
+	for i := range shards {
+		c.shards = append(c.shards, &shard{
+			stream:  dragonflypass.Stream(fmt.Sprintf("%s-%d", dragonflypass.StreamClaims, i)),
+			mutex:   locker.Mutex{Order: locker.Claims},
+			fold:    NewFold(retention, remember),
+			changed: make(chan struct{}),
+			given:   make(map[dragonflypass.Nonce]given),
+			reading: make(chan struct{}, 1),
+		})
+	}
+	return c
+}
+
+// Run follows the shards until ctx ends.
+func (c *Claimer) Run(ctx context.Context) {
+	for _, s := range c.shards {
+		stopRead := c.Timer.Every(dragonflypass.JobClaim, c.Poll, func(ctx context.Context) { c.follow(ctx, s) })
+		defer stopRead()
+		stopKeep := c.Timer.Every(dragonflypass.JobSweep, c.Retention/(keepParts*8), func(ctx context.Context) { c.keep(ctx, s) })
+		defer stopKeep()
+	}
+	<-ctx.Done()
+}
+
+func (c *Claimer) shard(key dragonflypass.ClaimKey) *shard {
+	return c.shards[xxhash.Sum64(key.Key[:])%uint64(len(c.shards))]
+}
+
+// follow reads what is new and writes what this VM still owes the log.
+func (c *Claimer) follow(ctx context.Context, s *shard) {
+	if c.read(ctx, s) != nil {
+		c.Meter.Add(dragonflypass.CountLogFailed, 1)
+		return
+	}
+	owed := s.owed(c.Timer.Now())
+	for _, end := range owed {
+		if c.append(ctx, s, dragonflypass.Record{End: &end}) != nil {
+			return
+		}
+		s.paid(end)
+	}
+	if len(owed) > 0 {
+		_ = c.read(ctx, s)
+	}
+}
+
+// owed returns the outcomes to be written: those not in the log yet and the
+// void ones of claims that surfaced after they were given up.
+func (s *shard) owed(now time.Time) []dragonflypass.ClaimEnd {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	owed := slices.Clone(s.ends)
+	for nonce, g := range s.given {
+		if holding := s.fold.Holding(g.key); holding != nil && holding.Claim.Nonce == nonce {
+			owed = append(owed, dragonflypass.ClaimEnd{Key: g.key, Nonce: nonce, Void: true})
+		}
+		if now.Sub(g.at) > s.fold.Retention {
+			delete(s.given, nonce)
+		}
+	}
+	return owed
+}
+
+func (s *shard) paid(end dragonflypass.ClaimEnd) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.ends = slices.DeleteFunc(s.ends, func(e dragonflypass.ClaimEnd) bool { return e.Nonce == end.Nonce })
+}
+
+func (c *Claimer) append(ctx context.Context, s *shard, record dragonflypass.Record) error {
+	ctx, cancel := c.Timer.WithDeadline(ctx, c.Timer.Now().Add(logTimeout))
+	defer cancel()
+	_, err := c.Log.Append(ctx, s.stream, record)
+	if err != nil {
+		c.Meter.Add(dragonflypass.CountLogFailed, 1)
+	}
+	return err
+}
+
+// read folds in what is new in the shard's stream.
+func (c *Claimer) read(ctx context.Context, s *shard) error {
+	select {
+	case s.reading <- struct{}{}:
+	case <-ctx.Done():
+		return context.Cause(ctx)
+	}
+	defer func() { <-s.reading }()
+	for {
+		s.mutex.Lock()
+		from := s.fold.Offset() + 1
+		s.mutex.Unlock()
+		page, err := c.readPage(ctx, s, from)
+		if errors.Is(err, dragonflypass.ErrTrimmed) && page.First > from {
+			page, err = c.readPage(ctx, s, page.First)
+		}
+		if err != nil {
+			return err
+		}
+		if len(page.Entries) == 0 {
+			return nil
+		}
+		s.apply(page.Entries)
+	}
+}
+
+func (c *Claimer) readPage(ctx context.Context, s *shard, from dragonflypass.Offset) (dragonflypass.Page, error) {
+	ctx, cancel := c.Timer.WithDeadline(ctx, c.Timer.Now().Add(logTimeout))
+	defer cancel()
+	return c.Log.Read(ctx, s.stream, from, pageLimit)
+}
+
+func (s *shard) apply(entries []dragonflypass.Entry) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	for _, entry := range entries {
+		s.fold.Apply(entry)
+		if end := entry.Record.End; end != nil && end.Void {
+			delete(s.given, end.Nonce)
+		}
+		if claim := entry.Record.Claim; claim != nil && !s.holds(claim) {
+			delete(s.given, claim.Nonce)
+		}
+	}
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
+// holds reports whether the claim holds its key; it is called with the mutex held.
+func (s *shard) holds(claim *dragonflypass.Claim) bool {
+	holding := s.fold.Holding(claim.Key)
+	return holding != nil && holding.Claim.Nonce == claim.Nonce
+}
+
+// Once runs the call if its key was never claimed, and else returns what became of the earlier run.
+//
+// send is called at most once for each key, whatever fails; it returns
+// ErrUnavailable or ErrRefused only when nothing ran. The error is a Refusal.
+func (c *Claimer) Once(ctx context.Context, call dragonflypass.Invocation, body dragonflypass.Digest, key dragonflypass.ClaimKey, send func(context.Context) (dragonflypass.Answer, error)) (dragonflypass.Answer, error) {
+	s := c.shard(key)
+	claim := dragonflypass.Claim{
+		Key: key, Nonce: newNonce(), Body: body,
+		VM: c.Self, Incarnation: c.Incarnation, At: c.Timer.Now(), Deadline: call.Deadline,
+	}
+	held, err := c.claim(ctx, s, claim, call.Deadline)
+	if err != nil {
+		return dragonflypass.Answer{}, err
+	}
+	if held.Claim.Nonce != claim.Nonce {
+		c.Meter.Add(dragonflypass.CountClaimLost, 1)
+		return c.earlier(ctx, s, held, body)
+	}
+	c.Meter.Add(dragonflypass.CountClaimMade, 1)
+	if ctx.Err() != nil || !c.Timer.Now().Before(call.Deadline) {
+		c.giveUp(s, claim)
+		return dragonflypass.Answer{}, dragonflypass.Refuse(dragonflypass.ReasonTimeout, time.Second, "the call's time was over before it was sent")
+	}
+	c.Meter.Add(dragonflypass.CountOnceSent, 1)
+	answer, err := send(ctx)
+	return c.conclude(s, claim, answer, err)
+}
+
+func newNonce() (nonce dragonflypass.Nonce) {
+	_, _ = rand.Read(nonce[:]) // It never fails.
+	return nonce
+}
+
+// claim returns the claim that holds the key, which is the given one when it came first in the log.
+func (c *Claimer) claim(ctx context.Context, s *shard, claim dragonflypass.Claim, deadline time.Time) (Holding, error) {
+	if held, ok := s.holding(claim.Key); ok {
+		return held, nil
+	}
+	err := c.append(ctx, s, dragonflypass.Record{Claim: &claim})
+	if errors.Is(err, dragonflypass.ErrUnavailable) || errors.Is(err, dragonflypass.ErrRefused) {
+		return Holding{}, c.refuseNoLog()
+	}
+	ctx, cancel := c.Timer.WithDeadline(ctx, minTime(deadline, c.Timer.Now().Add(logTimeout)))
+	defer cancel()
+	held, ok := c.find(ctx, s, claim)
+	if !ok {
+		c.giveUp(s, claim)
+		return Holding{}, c.refuseNoLog()
+	}
+	if held.Claim.Nonce != claim.Nonce {
+		// The append may still be on its way, and find the key free again.
+		s.give(claim, c.Timer.Now())
+	}
+	return held, nil
+}
+
+func minTime(a, b time.Time) time.Time {
+	if a.Before(b) {
+		return a
+	}
+	return b
+}
+
+func (c *Claimer) refuseNoLog() *dragonflypass.Refusal {
+	return dragonflypass.Refuse(dragonflypass.ReasonNoLog, time.Second, "calls that run at most once need the platform's log, which does not answer")
+}
+
+func (s *shard) holding(key dragonflypass.ClaimKey) (Holding, bool) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	if held := s.fold.Holding(key); held != nil {
+		return *held, true
+	}
+	return Holding{}, false
+}
+
+// find reads the stream until some claim holds the key; the given one's append may have failed or be on its way.
+func (c *Claimer) find(ctx context.Context, s *shard, claim dragonflypass.Claim) (Holding, bool) {
+	for {
+		_ = c.read(ctx, s)
+		if held, ok := s.holding(claim.Key); ok {
+			return held, true
+		}
+		waited := make(chan struct{})
+		stop := c.Timer.At(dragonflypass.JobClaim, c.Timer.Now().Add(readRetry), func(context.Context) { close(waited) })
+		select {
+		case <-waited:
+		case <-ctx.Done():
+			stop()
+			return Holding{}, false
+		}
+	}
+}
+
+// giveUp has the claim made void, now or when it surfaces in the log; its call is not sent any more.
+func (c *Claimer) giveUp(s *shard, claim dragonflypass.Claim) {
+	c.Meter.Add(dragonflypass.CountClaimVoided, 1)
+	s.give(claim, c.Timer.Now())
+	c.Pool.Submit(dragonflypass.JobClaim, func(ctx context.Context) { c.follow(ctx, s) })
+}
+
+// conclude records the outcome of a call that was this VM's to send.
+func (c *Claimer) conclude(s *shard, claim dragonflypass.Claim, answer dragonflypass.Answer, err error) (dragonflypass.Answer, error) {
+	if errors.Is(err, dragonflypass.ErrUnavailable) || errors.Is(err, dragonflypass.ErrRefused) {
+		c.giveUp(s, claim)
+		return dragonflypass.Answer{}, dragonflypass.Refuse(dragonflypass.ReasonNoServer, time.Second, "no endpoint of the service took the call")
+	}
+	end := dragonflypass.ClaimEnd{Key: claim.Key, Nonce: claim.Nonce, Unknown: err != nil, Answer: answer}
+	if len(answer.Body) > answerLimit {
+		end.Answer.Body = nil
+	}
+	s.mutex.Lock()
+	s.ends = append(s.ends, end)
+	s.mutex.Unlock()
+	c.Pool.Submit(dragonflypass.JobClaim, func(ctx context.Context) { c.follow(ctx, s) })
+	if err != nil {
+		return dragonflypass.Answer{}, refuseUnknown()
+	}
+	return answer, nil
+}
+
+func refuseUnknown() *dragonflypass.Refusal {
+	return &dragonflypass.Refusal{
+		Reason: dragonflypass.ReasonUnknown, Ran: dragonflypass.RanMaybe,
+		Detail: "the call was sent and its outcome is not known; it will not be sent again",
+	}
+}
+
+// earlier returns what became of the call that holds the key, waiting while it is under way.
+func (c *Claimer) earlier(ctx context.Context, s *shard, held Holding, body dragonflypass.Digest) (dragonflypass.Answer, error) {
+	for {
+		if held.Claim.Body != body {
+			return dragonflypass.Answer{}, dragonflypass.Refuse(dragonflypass.ReasonKeyReused, 0, "the idempotency key was used for another call")
+		}
+		switch held.State {
+		case dragonflypass.ClaimDone:
+			c.Meter.Add(dragonflypass.CountClaimReplayed, 1)
+			answer := held.End.Answer
+			answer.Replayed = true
+			return answer, nil
+		case dragonflypass.ClaimUnknown:
+			return dragonflypass.Answer{}, refuseUnknown()
+		}
+		if c.Timer.Now().Sub(held.Claim.Deadline) > overdue {
+			return dragonflypass.Answer{}, refuseUnknown()
+		}
+		s.mutex.Lock()
+		changed := s.changed
+		s.mutex.Unlock()
+		select {
+		case <-changed:
+		case <-ctx.Done():
+			return dragonflypass.Answer{}, c.refuseInProgress()
+		}
+		now, ok := s.holding(held.Claim.Key)
+		if !ok || now.Claim.Nonce != held.Claim.Nonce {
+			return dragonflypass.Answer{}, dragonflypass.Refuse(dragonflypass.ReasonInProgress, time.Second, "the earlier call with this key was not sent; send it again")
+		}
+		held = now
+	}
+}
+
+// refuseInProgress answers a repeat whose first call has no outcome yet: this one was not sent, the first may have run.
+func (c *Claimer) refuseInProgress() *dragonflypass.Refusal {
+	return &dragonflypass.Refusal{
+		Reason: dragonflypass.ReasonInProgress, Ran: dragonflypass.RanMaybe, Retry: time.Second,
+		Detail: "a call with this key is under way",
+	}
+}
+
+// keep copies holdings whose records the log will drop, spread over the VMs by chance of who comes first.
+func (c *Claimer) keep(ctx context.Context, s *shard) {
+	if c.read(ctx, s) != nil {
+		return
+	}
+	s.mutex.Lock()
+	stale := s.fold.Stale(c.Timer.Now(), c.Retention/keepParts)
+	s.mutex.Unlock()
+	for _, holding := range stale[:min(len(stale), copiesAtOnce)] {
+		record := dragonflypass.ClaimCopy{Claim: holding.Claim}
+		if holding.State != dragonflypass.ClaimOpen {
+			record.End = &holding.End
+		}
+		if c.append(ctx, s, dragonflypass.Record{Copy: &record}) != nil {
+			return
+		}
+		c.Meter.Add(dragonflypass.CountClaimCopied, 1)
+	}
+}
+
+// Open returns the claims without a known outcome, the oldest first.
+func (c *Claimer) Open() []Holding {
+	var open []Holding
+	for _, s := range c.shards {
+		s.mutex.Lock()
+		open = append(open, s.fold.Open()...)
+		s.mutex.Unlock()
+	}
+	slices.SortFunc(open, func(a, b Holding) int { return a.Claim.At.Compare(b.Claim.At) })
+	return open
+}
+
+// Settle records an operator's word on a claim: ran keeps the key for good, else it is free again.
+// Errors: ErrUnknown when no such claim is open, ErrOpen when its VM may still send the call and gone is not set.
+func (c *Claimer) Settle(ctx context.Context, nonce dragonflypass.Nonce, ran, gone bool) error {
+	for _, holding := range c.Open() {
+		if holding.Claim.Nonce != nonce {
+			continue
+		}
+		if holding.State == dragonflypass.ClaimOpen && !gone {
+			return ErrOpen
+		}
+		end := dragonflypass.ClaimEnd{Key: holding.Claim.Key, Nonce: nonce, Settled: true, Void: !ran}
+		s := c.shard(holding.Claim.Key)
+		if err := c.append(ctx, s, dragonflypass.Record{End: &end}); err != nil {
+			return eris.Wrap(err, "claimer: record the settlement")
+		}
+		return c.read(ctx, s)
+	}
+	return dragonflypass.ErrUnknown
+}
--- /dev/null
+++ b/core/configurer/fold.go
@@ -0,0 +1,172 @@
+package configurer
+
+import (
+	"maps"
+	"slices"
+	"strings"
+
+	"github.com/dragonflypass/dragonflypass"
+)
+
+// recentLimit is the number of verdicts kept to know repetitions of a change.
+const recentLimit = 1024
+
+// Fold is the state that a prefix of the configuration stream amounts to; the same prefix gives the same state everywhere.
+type Fold struct {
+	offset  dragonflypass.Offset
+	items   map[dragonflypass.ItemKey]dragonflypass.Versioned
+	recent  []dragonflypass.Verdict
+	waiting map[dragonflypass.Offset]dragonflypass.Entry
+	// snapshot is the entry of the newest snapshot seen, nil when there was none.
+	snapshot *dragonflypass.Entry
+	// oldest is the first entry seen.
+	oldest *dragonflypass.Entry
+}
+
+// NewFold returns the state before the first record.
+func NewFold() *Fold {
+	return &Fold{
+		items:   make(map[dragonflypass.ItemKey]dragonflypass.Versioned),
+		waiting: make(map[dragonflypass.Offset]dragonflypass.Entry),
+	}
+}
+
+// Offset returns the offset of the last record folded in.
+func (f *Fold) Offset() dragonflypass.Offset { return f.offset }
+
+// Apply folds entries in and returns the verdicts on the changes among them.
+// Entries after a gap wait for a snapshot that closes it; entries already folded in change nothing.
+func (f *Fold) Apply(entries []dragonflypass.Entry) []dragonflypass.Verdict {
+	var verdicts []dragonflypass.Verdict
+	for _, entry := range entries {
+		f.note(entry)
+		if entry.Offset > f.offset {
+			f.waiting[entry.Offset] = entry
+		}
+		if s := entry.Record.Snapshot; s != nil && s.Upto > f.offset {
+			f.adopt(s)
+		}
+		verdicts = append(verdicts, f.drain()...)
+	}
+	return verdicts
+}
+
+func (f *Fold) note(entry dragonflypass.Entry) {
+	if f.oldest == nil {
+		f.oldest = &entry
+	}
+	if f.renews(entry) {
+		f.snapshot = &entry
+	}
+}
+
+// renews reports whether the entry is a snapshot in the log that covers at least what the newest known one does.
+func (f *Fold) renews(entry dragonflypass.Entry) bool {
+	s := entry.Record.Snapshot
+	// A snapshot that a peer made has the offset it covers; one in the log has a later offset.
+	if s == nil || entry.Offset <= s.Upto {
+		return false
+	}
+	if f.snapshot == nil {
+		return true
+	}
+	return entry.Offset > f.snapshot.Offset && s.Upto >= f.snapshot.Record.Snapshot.Upto
+}
+
+// Complete reports whether nothing waits for a gap to close.
+func (f *Fold) Complete() bool { return len(f.waiting) == 0 }
+
+// adopt takes a snapshot's state, which is later than the fold's own.
+func (f *Fold) adopt(s *dragonflypass.Snapshot) {
+	f.items = make(map[dragonflypass.ItemKey]dragonflypass.Versioned, len(s.Items))
+	for _, item := range s.Items {
+		f.items[item.Key] = item
+	}
+	f.recent = slices.Clone(s.Recent)
+	f.offset = s.Upto
+	maps.DeleteFunc(f.waiting, func(offset dragonflypass.Offset, _ dragonflypass.Entry) bool {
+		return offset <= f.offset
+	})
+}
+
+// drain folds in the waiting entries that follow without a gap.
+func (f *Fold) drain() []dragonflypass.Verdict {
+	var verdicts []dragonflypass.Verdict
+	for {
+		entry, ok := f.waiting[f.offset+1]
+		if !ok {
+			return verdicts
+		}
+		delete(f.waiting, entry.Offset)
+		f.offset = entry.Offset
+		if entry.Record.Change == nil {
+			continue
+		}
+		if verdict, isNew := f.change(entry.Offset, entry.Record.Change); isNew {
+			verdicts = append(verdicts, verdict)
+		}
+	}
+}
+
+// change decides on a change and applies it when it is accepted; isNew is false for a repetition.
+func (f *Fold) change(offset dragonflypass.Offset, change *dragonflypass.Change) (verdict dragonflypass.Verdict, isNew bool) {
+	if known, ok := f.Verdict(change.ID); ok {
+		return known, false
+	}
+	verdict = dragonflypass.Verdict{ID: change.ID, Author: change.Author, Offset: offset, At: change.At, Accepted: true}
+	for _, edit := range change.Edits {
+		current := f.items[edit.Key].Version
+		if current != edit.Base {
+			verdict.Accepted = false
+			verdict.Conflict = edit.Key
+			verdict.Winner = current
+			break
+		}
+	}
+	if verdict.Accepted {
+		f.edit(offset, change.Edits)
+	}
+	f.recent = append(f.recent, verdict)
+	if len(f.recent) > recentLimit {
+		f.recent = slices.Delete(f.recent, 0, len(f.recent)-recentLimit)
+	}
+	return verdict, true
+}
+
+func (f *Fold) edit(offset dragonflypass.Offset, edits []dragonflypass.Edit) {
+	for _, edit := range edits {
+		if edit.Item == nil {
+			delete(f.items, edit.Key)
+			continue
+		}
+		f.items[edit.Key] = dragonflypass.Versioned{Key: edit.Key, Version: offset, Item: *edit.Item}
+	}
+}
+
+// Verdict returns how the change with the identifier was decided, if that is known.
+func (f *Fold) Verdict(id string) (dragonflypass.Verdict, bool) {
+	for i := len(f.recent) - 1; i >= 0; i-- {
+		if f.recent[i].ID == id {
+			return f.recent[i], true
+		}
+	}
+	return dragonflypass.Verdict{}, false
+}
+
+// Recent returns the latest verdicts in the log's order.
+func (f *Fold) Recent() []dragonflypass.Verdict { return slices.Clone(f.recent) }
+
+// Items returns the items in the order of their keys.
+func (f *Fold) Items() []dragonflypass.Versioned {
+	return slices.SortedFunc(maps.Values(f.items), func(a, b dragonflypass.Versioned) int {
+		if order := strings.Compare(string(a.Key.Section), string(b.Key.Section)); order != 0 {
+			return order
+		}
+		return strings.Compare(a.Key.Name, b.Key.Name)
+	})
+}
+
+// Snapshot returns the whole state as a record that later readers can start from.
+func (f *Fold) Snapshot() *dragonflypass.Snapshot {
+	return &dragonflypass.Snapshot{Upto: f.offset, Items: f.Items(), Recent: f.Recent()}
+}
--- /dev/null
+++ b/core/detector/detector.go
@@ -0,0 +1,455 @@
+package detector
+
+import (
+	"context"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/dragonflypass/dragonflypass"
+	"github.com/dragonflypass/dragonflypass/core/locker"
+)
+
+const (
+	// suspectIntervals is the number of heartbeat intervals without word after which a VM is suspect.
+	suspectIntervals = 3
+	// goneIntervals is the number of heartbeat intervals without word after which a VM is gone.
+	goneIntervals = 10
+	// remoteNeighbours is the number of VMs of each other zone with which heartbeats are exchanged.
+	remoteNeighbours = 2
+	// zoneCost lengthens the heartbeat interval for each live VM of the zone, to bound what control costs.
+	zoneCost = 40 * time.Millisecond
+	// directoryTimeout bounds one reading of the platform's list of VMs.
+	directoryTimeout = 2 * time.Second
+)
+
+// Detector exchanges heartbeats with other entry VMs and keeps what is known of them.
+type Detector struct {
+	Self        dragonflypass.VM
+	Incarnation uint64
+	Seeds       []dragonflypass.VM
+	Timer       dragonflypass.Timer
+	Pool        dragonflypass.Pool
+	Peers       dragonflypass.Peers
+	Directory   dragonflypass.Directory
+	Meter       dragonflypass.Meter
+	Logger      dragonflypass.Logger
+	// Interval is the shortest time between two heartbeats to one VM.
+	Interval time.Duration
+	// List is the time between two readings of the platform's list of VMs.
+	List time.Duration
+	// Config returns the offset of the configuration in force here.
+	Config func() dragonflypass.Offset
+	// Loads returns the loads of the backend servers that this VM owns.
+	Loads func() []dragonflypass.ServerLoad
+	// Held returns this VM's open streams at backend servers that the other VM owns.
+	Held func(owner dragonflypass.VMID) []dragonflypass.HeldStream
+	// Received is called with each heartbeat from another VM, outside all locks.
+	Received func(dragonflypass.Heartbeat)
+
+	mutex     locker.Mutex
+	members   map[dragonflypass.VMID]*member
+	leaving   bool
+	listeners []func()
+	// others is the table as last returned by Others, nil when it has changed since.
+	others []dragonflypass.Member
+}
+
+type member struct {
+	dragonflypass.Member
+	// listed is set while the platform's list or the settings name the VM.
+	listed bool
+	// seeded is set when the settings name the VM.
+	seeded bool
+	// contacted is the instant of the last heartbeat sent to the VM.
+	contacted time.Time
+	// busy is set while a heartbeat to the VM is under way.
+	busy bool
+	// lost is closed when the VM is no longer heard or has started anew.
+	lost chan struct{}
+}
+
+// lose tells those who attend to the VM that it is no longer the one they know.
+func (m *member) lose() {
+	close(m.lost)
+	m.lost = make(chan struct{})
+}
+
+// New returns a detector that knows no other VM.
+func New() *Detector {
+	return &Detector{
+		mutex:   locker.Mutex{Order: locker.Members},
+		members: make(map[dragonflypass.VMID]*member),
+	}
+}
+
+// Subscribe registers a function that is called, outside all locks, when a VM's state has changed.
+func (d *Detector) Subscribe(listener func()) {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	d.listeners = append(d.listeners, listener)
+}
+
+// Run exchanges heartbeats until ctx ends.
+func (d *Detector) Run(ctx context.Context) {
+	d.seed()
+	stopBeat := d.Timer.Every(dragonflypass.JobMembers, d.Interval/4, d.Tick)
+	defer stopBeat()
+	stopList := d.Timer.Every(dragonflypass.JobMembers, d.List, d.readList)
+	defer stopList()
+	d.readList(ctx)
+	<-ctx.Done()
+}
+
+func (d *Detector) seed() {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	for _, vm := range d.Seeds {
+		if vm.ID != d.Self.ID {
+			d.members[vm.ID] = newMember(vm, true)
+		}
+	}
+	d.others = nil
+}
+
+func newMember(vm dragonflypass.VM, seeded bool) *member {
+	return &member{
+		Member: dragonflypass.Member{VM: vm, State: dragonflypass.MemberSuspect},
+		listed: true,
+		seeded: seeded,
+		lost:   make(chan struct{}),
+	}
+}
+
+// Tick ages the states and sends the heartbeats that are due.
+func (d *Detector) Tick(context.Context) {
+	now := d.Timer.Now()
+	d.mutex.Lock()
+	changed := d.age(now)
+	due := d.due(now)
+	d.mutex.Unlock()
+	d.notify(changed)
+	for _, vm := range due {
+		if !d.Pool.Submit(dragonflypass.JobHeartbeat, func(ctx context.Context) { d.exchange(ctx, vm) }) {
+			d.settle(vm.ID)
+		}
+	}
+}
+
+// age moves VMs without word on to suspect and gone; it is called with the mutex held.
+func (d *Detector) age(now time.Time) (changed []dragonflypass.Member) {
+	interval := d.interval()
+	for id, m := range d.members {
+		silent := now.Sub(m.Heard)
+		before := m.State
+		switch {
+		case m.Heard.IsZero():
+		case silent > goneIntervals*interval:
+			m.State = dragonflypass.MemberGone
+		case silent > suspectIntervals*interval:
+			m.State = dragonflypass.MemberSuspect
+		}
+		if m.State != before {
+			m.Loads = nil
+			m.lose()
+			changed = append(changed, m.Member)
+		}
+		if m.State == dragonflypass.MemberGone && !m.listed {
+			delete(d.members, id)
+		}
+	}
+	if len(changed) > 0 {
+		d.others = nil
+	}
+	return changed
+}
+
+// interval is the time between two heartbeats to one VM; it is called with the mutex held.
+func (d *Detector) interval() time.Duration {
+	zone := 0
+	for _, m := range d.members {
+		if m.VM.Zone == d.Self.Zone && m.State == dragonflypass.MemberLive {
+			zone++
+		}
+	}
+	return max(d.Interval, time.Duration(zone)*zoneCost)
+}
+
+// due returns the neighbours whose heartbeat is due and marks them busy; it is called with the mutex held.
+func (d *Detector) due(now time.Time) []dragonflypass.VM {
+	interval := d.interval()
+	var due []dragonflypass.VM
+	for _, m := range d.neighbours() {
+		if m.busy || now.Sub(m.contacted) < interval {
+			continue
+		}
+		m.busy = true
+		m.contacted = now
+		due = append(due, m.VM)
+	}
+	return due
+}
+
+// neighbours returns the VMs of the own zone and a few of each other one; it is called with the mutex held.
+func (d *Detector) neighbours() []*member {
+	var near []*member
+	far := make(map[dragonflypass.AvailabilityZone][]*member)
+	for _, m := range d.members {
+		if m.VM.Zone == d.Self.Zone {
+			near = append(near, m)
+			continue
+		}
+		far[m.VM.Zone] = append(far[m.VM.Zone], m)
+	}
+	for _, group := range far {
+		near = append(near, d.chosen(group)...)
+	}
+	slices.SortFunc(near, func(a, b *member) int { return strings.Compare(string(a.VM.ID), string(b.VM.ID)) })
+	return near
+}
+
+// chosen returns the VMs of another zone that this VM talks to, preferring those not gone.
+func (d *Detector) chosen(group []*member) []*member {
+	slices.SortFunc(group, func(a, b *member) int {
+		goneA, goneB := a.State == dragonflypass.MemberGone, b.State == dragonflypass.MemberGone
+		if goneA != goneB {
+			if goneB {
+				return -1
+			}
+			return 1
+		}
+		if score(string(d.Self.ID), a.VM.ID) > score(string(d.Self.ID), b.VM.ID) {
+			return -1
+		}
+		return 1
+	})
+	return group[:min(len(group), remoteNeighbours)]
+}
+
+func (d *Detector) exchange(ctx context.Context, vm dragonflypass.VM) {
+	defer d.settle(vm.ID)
+	ctx, cancel := d.Timer.WithDeadline(ctx, d.Timer.Now().Add(d.Interval))
+	defer cancel()
+	d.Meter.Add(dragonflypass.CountHeartbeatSent, 1)
+	beat, err := d.Peers.Exchange(ctx, vm, d.beat(vm.ID))
+	if err != nil {
+		d.Meter.Add(dragonflypass.CountHeartbeatFailed, 1)
+		return
+	}
+	d.take(beat)
+}
+
+func (d *Detector) settle(id dragonflypass.VMID) {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	if m, ok := d.members[id]; ok {
+		m.busy = false
+	}
+}
+
+// beat makes the heartbeat for the other VM.
+func (d *Detector) beat(to dragonflypass.VMID) dragonflypass.Heartbeat {
+	d.mutex.Lock()
+	self := d.self()
+	d.mutex.Unlock()
+	return dragonflypass.Heartbeat{
+		From:        self,
+		Incarnation: d.Incarnation,
+		Config:      d.Config(),
+		Loads:       d.Loads(),
+		Held:        d.Held(to),
+	}
+}
+
+// self is called with the mutex held.
+func (d *Detector) self() dragonflypass.VM {
+	vm := d.Self
+	vm.Leaving = d.leaving
+	return vm
+}
+
+// Exchange takes a heartbeat from another VM and returns this VM's own.
+func (d *Detector) Exchange(beat dragonflypass.Heartbeat) dragonflypass.Heartbeat {
+	d.take(beat)
+	return d.beat(beat.From.ID)
+}
+
+// take notes a heartbeat; one from an earlier incarnation of its VM is dropped.
+func (d *Detector) take(beat dragonflypass.Heartbeat) {
+	d.mutex.Lock()
+	m, known := d.members[beat.From.ID]
+	if !known {
+		m = newMember(beat.From, false)
+		m.listed = false
+		d.members[beat.From.ID] = m
+	}
+	if beat.Incarnation < m.Incarnation || beat.From.ID == d.Self.ID {
+		d.mutex.Unlock()
+		return
+	}
+	before := m.State
+	if m.Incarnation != beat.Incarnation {
+		m.lose()
+	}
+	m.VM = beat.From
+	m.Incarnation = beat.Incarnation
+	m.Heard = d.Timer.Now()
+	m.Config = beat.Config
+	m.Loads = beat.Loads
+	d.others = nil
+	m.State = dragonflypass.MemberLive
+	if beat.From.Leaving {
+		m.State = dragonflypass.MemberLeaving
+	}
+	var changed []dragonflypass.Member
+	if m.State != before {
+		changed = append(changed, m.Member)
+	}
+	d.mutex.Unlock()
+	d.notify(changed)
+	d.Received(beat)
+}
+
+// notify logs the changes of state and tells the listeners of them.
+func (d *Detector) notify(changed []dragonflypass.Member) {
+	if len(changed) == 0 {
+		return
+	}
+	for _, m := range changed {
+		d.Logger.Info("member state", "member", m.VM.ID, "zone", m.VM.Zone, "state", m.State, "incarnation", m.Incarnation)
+	}
+	d.mutex.Lock()
+	listeners := slices.Clone(d.listeners)
+	d.mutex.Unlock()
+	for _, listener := range listeners {
+		listener()
+	}
+}
+
+// readList takes the platform's list, which lags: for a VM that is heard directly its word counts for more.
+func (d *Detector) readList(ctx context.Context) {
+	ctx, cancel := d.Timer.WithDeadline(ctx, d.Timer.Now().Add(directoryTimeout))
+	defer cancel()
+	list, err := d.Directory.VMs(ctx)
+	if err != nil {
+		return
+	}
+	d.mutex.Lock()
+	changed := d.merge(list)
+	d.mutex.Unlock()
+	d.notify(changed)
+}
+
+// merge is called with the mutex held.
+func (d *Detector) merge(list []dragonflypass.PlatformVM) (changed []dragonflypass.Member) {
+	d.others = nil
+	for _, m := range d.members {
+		m.listed = m.seeded
+	}
+	for _, line := range list {
+		if line.ID == d.Self.ID {
+			continue
+		}
+		m, ok := d.members[line.ID]
+		if !ok {
+			m = newMember(dragonflypass.VM{ID: line.ID, Zone: line.Zone, Peer: line.Peer}, false)
+			d.members[line.ID] = m
+			changed = append(changed, m.Member)
+		}
+		m.listed = true
+		silent := m.State == dragonflypass.MemberSuspect || m.State == dragonflypass.MemberGone
+		if silent {
+			m.VM.Peer = line.Peer
+			m.VM.Leaving = line.Leaving
+		}
+	}
+	return changed
+}
+
+// Leave marks this VM as leaving and tells its neighbours at once.
+func (d *Detector) Leave(ctx context.Context) {
+	d.mutex.Lock()
+	already := d.leaving
+	d.leaving = true
+	neighbours := d.neighbours()
+	vms := make([]dragonflypass.VM, 0, len(neighbours))
+	for _, m := range neighbours {
+		vms = append(vms, m.VM)
+	}
+	d.mutex.Unlock()
+	if already {
+		return
+	}
+	d.notify([]dragonflypass.Member{{VM: d.Self, Incarnation: d.Incarnation, State: dragonflypass.MemberLeaving}})
+	for _, vm := range vms {
+		d.Pool.Submit(dragonflypass.JobHeartbeat, func(ctx context.Context) { d.exchange(ctx, vm) })
+	}
+}
+
+// Leaving reports whether this VM's shutdown has begun.
+func (d *Detector) Leaving() bool {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	return d.leaving
+}
+
+// Others returns the other entry VMs that are not gone, in the order of their
+// identifiers; the caller must not change the slice.
+func (d *Detector) Others() []dragonflypass.Member {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	if d.others != nil {
+		return d.others
+	}
+	others := make([]dragonflypass.Member, 0, len(d.members))
+	for _, m := range d.members {
+		if m.State != dragonflypass.MemberGone {
+			others = append(others, m.Member)
+		}
+	}
+	slices.SortFunc(others, func(a, b dragonflypass.Member) int {
+		return strings.Compare(string(a.VM.ID), string(b.VM.ID))
+	})
+	d.others = others
+	return others
+}
+
+// Attend returns a context that ends when the VM is no longer heard or has started anew.
+func (d *Detector) Attend(ctx context.Context, id dragonflypass.VMID) (context.Context, context.CancelFunc) {
+	d.mutex.Lock()
+	m, ok := d.members[id]
+	var lost chan struct{}
+	if ok {
+		lost = m.lost
+	}
+	d.mutex.Unlock()
+	ctx, cancel := context.WithCancelCause(ctx)
+	if !ok {
+		cancel(dragonflypass.ErrUnavailable)
+		return ctx, func() {}
+	}
+	go func() {
+		select {
+		case <-lost:
+			cancel(dragonflypass.ErrUnavailable)
+		case <-ctx.Done():
+		}
+	}()
+	return ctx, func() { cancel(context.Canceled) }
+}
+
+// Live returns the VMs that may be given work, this one included unless it is leaving.
+func (d *Detector) Live() []dragonflypass.VM {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	var live []dragonflypass.VM
+	if !d.leaving {
+		live = append(live, d.Self)
+	}
+	for _, m := range d.members {
+		if m.State == dragonflypass.MemberLive {
+			live = append(live, m.VM)
+		}
+	}
+	return live
+}
--- /dev/null
+++ b/core/detector/owner.go
@@ -0,0 +1,41 @@
+package detector
+
+import (
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/dragonflypass/dragonflypass"
+)
+
+// Owner returns the VM that owns the backend server: the winner of rendezvous
+// hashing among the live VMs of its zone, or of all zones where its own has none.
+func Owner(server *dragonflypass.BackendServer, live []dragonflypass.VM) (dragonflypass.VM, bool) {
+	owner, ok := winner(server.ID, live, func(vm dragonflypass.VM) bool { return vm.Zone == server.Zone })
+	if ok {
+		return owner, true
+	}
+	return winner(server.ID, live, func(dragonflypass.VM) bool { return true })
+}
+
+func winner(server dragonflypass.ServerID, live []dragonflypass.VM, eligible func(dragonflypass.VM) bool) (best dragonflypass.VM, found bool) {
+	var highest uint64
+	for _, vm := range live {
+		if !eligible(vm) {
+			continue
+		}
+		s := score(string(server), vm.ID)
+		if !found || s > highest || (s == highest && vm.ID < best.ID) {
+			best, highest, found = vm, s, true
+		}
+	}
+	return best, found
+}
+
+// score is the weight of the VM for the key in rendezvous hashing.
+func score(key string, vm dragonflypass.VMID) uint64 {
+	var digest xxhash.Digest
+	digest.Reset()
+	_, _ = digest.WriteString(key)
+	_, _ = digest.WriteString("\x00")
+	_, _ = digest.WriteString(string(vm))
+	return digest.Sum64()
+}
--- /dev/null
+++ b/core/dispatcher/acquire.go
@@ -0,0 +1,171 @@
+package dispatcher
+
+import (
+	"context"
+	"time"
+
+	"github.com/dragonflypass/dragonflypass"
+)
+
+// ownerTries is the number of owners asked for one permit.
+const ownerTries = 3
+
+// placed is the prompt tokens sent to an owner since its digest of the instant.
+type placed struct {
+	heard  time.Time
+	tokens int
+}
+
+// acquire gets a permit from one of the owners.
+func (d *Dispatcher) acquire(ctx context.Context, j *job) (dragonflypass.Permit, error) {
+	request := d.permitRequest(j)
+	owners := d.candidates(&request)
+	var last error = dragonflypass.Refuse(dragonflypass.ReasonNoServer, time.Second, "no backend server for model %q is up", request.Model)
+	for i, owner := range owners {
+		if i == ownerTries {
+			break
+		}
+		permit, err := d.ask(ctx, owner, request)
+		if err == nil {
+			return permit, nil
+		}
+		if ctx.Err() != nil {
+			return dragonflypass.Permit{}, err
+		}
+		last = err
+		request.Stream = d.nextStream()
+	}
+	return dragonflypass.Permit{}, last
+}
+
+func (d *Dispatcher) nextStream() dragonflypass.StreamID {
+	return dragonflypass.StreamID{VM: d.Self.ID, Incarnation: d.Incarnation, Sequence: d.sequence.Add(1)}
+}
+
+func (d *Dispatcher) permitRequest(j *job) dragonflypass.PermitRequest {
+	r := j.request
+	current := d.Current()
+	return dragonflypass.PermitRequest{
+		Stream:         d.nextStream(),
+		Account:        r.Account,
+		Weight:         j.weight,
+		Model:          r.Model,
+		Rank:           r.Rank,
+		PromptTokens:   r.PromptTokens + j.tokens,
+		OutputTokens:   max(1, r.OutputTokens-j.tokens),
+		ExpectedTokens: max(1, r.ExpectedTokens-j.tokens),
+		Fingerprint:    r.Fingerprint,
+		Deadline:       r.Deadline,
+		LatestStart:    d.latestStart(j, current),
+		Target:         target(r, current.Ranks[r.Rank]),
+		Breaks:         j.breaks,
+		Exclude:        j.exclude,
+	}
+}
+
+// candidates returns the owners of servers that may run the request, the best first.
+func (d *Dispatcher) candidates(request *dragonflypass.PermitRequest) []dragonflypass.VM {
+	current := d.Current()
+	others := d.Owners.Others()
+	vms := make(map[string]dragonflypass.VM, len(others)+1)
+	candidates := make([]dragonflypass.Candidate, 0, len(others)+1)
+	add := func(vm dragonflypass.VM, heard time.Time, loads []dragonflypass.ServerLoad) {
+		if candidate, ok := d.candidate(request, current, vm, heard, loads); ok {
+			candidates = append(candidates, candidate)
+			vms[candidate.Name] = vm
+		}
+	}
+	add(d.Self, time.Time{}, d.Local.Loads())
+	for i := range others {
+		if others[i].State == dragonflypass.MemberLive {
+			add(others[i].VM, others[i].Heard, others[i].Loads)
+		}
+	}
+	d.Placement.Order(candidates)
+	owners := make([]dragonflypass.VM, len(candidates))
+	for i := range candidates {
+		owners[i] = vms[candidates[i].Name]
+	}
+	return owners
+}
+
+// candidate sums an owner's digests up; ok is false when none of its servers may run the request.
+func (d *Dispatcher) candidate(request *dragonflypass.PermitRequest, current *dragonflypass.Configuration, vm dragonflypass.VM, heard time.Time, loads []dragonflypass.ServerLoad) (c dragonflypass.Candidate, ok bool) {
+	class := dragonflypass.ClassOf(request.PromptTokens)
+	prefill := 0.0
+	for i := range loads {
+		server := current.Servers[loads[i].Server]
+		if server == nil || !server.Serves(request.Model) || server.Memory < request.Tokens() {
+			continue
+		}
+		prefill += server.Prefill
+		wait := loads[i].Wait[class]
+		if loads[i].Free < request.Tokens() {
+			wait += fullWait
+		}
+		if !ok || wait < c.Wait {
+			c.Wait = wait
+		}
+		c.Free = max(c.Free, loads[i].Free)
+		c.Outstanding += loads[i].Streams
+		ok = true
+	}
+	if !ok {
+		return c, false
+	}
+	c.Name = string(vm.ID)
+	if vm.Zone != d.Self.Zone {
+		c.Delay = d.ZoneDelay
+	}
+	c.Wait += time.Duration(float64(d.placedSince(vm.ID, heard)) / prefill * float64(time.Second))
+	return c, true
+}
+
+// fullWait is added to the predicted wait at a server without free memory.
+const fullWait = time.Second
+
+// placedSince returns the prompt tokens sent to the owner since its digest of the instant.
+func (d *Dispatcher) placedSince(owner dragonflypass.VMID, heard time.Time) int {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	p := d.placed[owner]
+	if !p.heard.Equal(heard) {
+		delete(d.placed, owner)
+		return 0
+	}
+	return p.tokens
+}
+
+func (d *Dispatcher) place(owner dragonflypass.VMID, heard time.Time, tokens int) {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	p := d.placed[owner]
+	if !p.heard.Equal(heard) {
+		p = placed{heard: heard}
+	}
+	p.tokens += tokens
+	d.placed[owner] = p
+}
+
+// ask waits for a permit of one owner; whatever comes of an unanswered question is returned to it.
+func (d *Dispatcher) ask(ctx context.Context, owner dragonflypass.VM, request dragonflypass.PermitRequest) (dragonflypass.Permit, error) {
+	if owner.ID == d.Self.ID {
+		return d.Local.Acquire(ctx, request)
+	}
+	for _, member := range d.Owners.Others() {
+		if member.VM.ID == owner.ID {
+			d.place(owner.ID, member.Heard, request.PromptTokens)
+		}
+	}
+	attended, cancel := d.Owners.Attend(ctx, owner.ID)
+	defer cancel()
+	permit, err := d.Peers.Acquire(attended, owner, request)
+	if err == nil {
+		return permit, nil
+	}
+	if _, refused := dragonflypass.AsRefusal(err); !refused {
+		release := dragonflypass.PermitRelease{Stream: request.Stream, Outcome: dragonflypass.OutcomeUnsent}
+		d.release(owner.ID, release)
+	}
+	return dragonflypass.Permit{}, err
+}
--- /dev/null
+++ b/core/dispatcher/prepare.go
@@ -0,0 +1,147 @@
+package dispatcher
+
+import (
+	"time"
+
+	"github.com/dragonflypass/dragonflypass"
+	"github.com/dragonflypass/dragonflypass/core/quarantiner"
+)
+
+const (
+	// defaultOutput is the largest answer in tokens of a request that names none.
+	defaultOutput = 1024
+	// windowMargin is the time kept between the end of a request and the VM's own window.
+	windowMargin = time.Second
+	// fallbackPrefill and fallbackDecode are rates in tokens a second for models without a known server.
+	fallbackPrefill = 10_000
+	fallbackDecode  = 30
+)
+
+// Ask is a completion as a front end received it.
+type Ask struct {
+	ID      string
+	Account dragonflypass.AccountID
+	Model   dragonflypass.ModelID
+	// Rank is the rank asked for; the account's own is used when it is more urgent than allowed.
+	Rank dragonflypass.Rank
+	// Prompt is the text that the model continues.
+	Prompt string
+	// Output is the largest number of tokens to generate, zero for the default.
+	Output int
+	// Body is the sum of what makes the request the same when it is sent again.
+	Body    dragonflypass.Digest
+	Arrived time.Time
+}
+
+// prepare checks the request against the configuration and the account's limits.
+func (d *Dispatcher) prepare(ask Ask) (*job, func(), *dragonflypass.Refusal) {
+	current := d.Current()
+	account, ok := current.Accounts[ask.Account]
+	if !ok {
+		return nil, nil, dragonflypass.Refuse(dragonflypass.ReasonUnauthorized, 0, "unknown client account")
+	}
+	model, ok := current.Models[ask.Model]
+	if !ok {
+		return nil, nil, dragonflypass.Refuse(dragonflypass.ReasonNotFound, 0, "unknown model %q", ask.Model)
+	}
+	if !account.MayUse(ask.Model) {
+		return nil, nil, dragonflypass.Refuse(dragonflypass.ReasonForbidden, 0, "account %s may not use model %q", account.ID, ask.Model)
+	}
+	request, refusal := d.request(ask, account, model)
+	if refusal != nil {
+		return nil, nil, refusal
+	}
+	if d.Guard.Check(request.Fingerprint) == quarantiner.Quarantined {
+		return nil, nil, dragonflypass.Refuse(dragonflypass.ReasonQuarantined, 0, "backend servers crashed while running this request")
+	}
+	j := &job{request: request, account: account, weight: current.Weight(account, request.Arrived)}
+	if refusal := d.bound(j, current); refusal != nil {
+		return nil, nil, refusal
+	}
+	end, refusal := d.Admitter.Admit(account, request.Tokens())
+	if refusal != nil {
+		return nil, nil, refusal
+	}
+	return j, end, nil
+}
+
+// request fills in what the layer knows of the request.
+func (d *Dispatcher) request(ask Ask, account *dragonflypass.ClientAccount, model *dragonflypass.Model) (*dragonflypass.Request, *dragonflypass.Refusal) {
+	rank := max(ask.Rank, account.Rank)
+	prompt := d.Estimator.Tokens(account.ID, model.ID, len(ask.Prompt))
+	if prompt >= model.Limit {
+		return nil, dragonflypass.Refuse(dragonflypass.ReasonTooLarge, 0, "the prompt's %d tokens leave no room in the model's %d", prompt, model.Limit)
+	}
+	output := ask.Output
+	if output <= 0 {
+		output = defaultOutput
+	}
+	output = min(output, model.Limit-prompt)
+	return &dragonflypass.Request{
+		ID:             ask.ID,
+		Account:        account.ID,
+		Model:          model.ID,
+		Rank:           rank,
+		Prompt:         ask.Prompt,
+		PromptTokens:   prompt,
+		OutputTokens:   output,
+		ExpectedTokens: d.Estimator.Output(account.ID, model.ID, output),
+		Fingerprint:    dragonflypass.Fingerprint{Account: account.ID, Model: model.ID, Body: ask.Body},
+		Arrived:        ask.Arrived,
+		Deadline:       ask.Arrived.Add(d.Current().Ranks[rank].Within),
+	}, nil
+}
+
+// bound moves the deadline before the VM's own window and refuses what cannot end by then.
+func (d *Dispatcher) bound(j *job, current *dragonflypass.Configuration) *dragonflypass.Refusal {
+	if d.Leaving() {
+		return dragonflypass.Refuse(dragonflypass.ReasonLeaving, time.Second, "VM %s is leaving", d.Self.ID)
+	}
+	closing := current.Closing(string(d.Self.ID), j.request.Arrived)
+	if closing.IsZero() {
+		return nil
+	}
+	last := closing.Add(-windowMargin)
+	if last.Before(j.request.Deadline) {
+		j.request.Deadline = last
+		j.bounded = true
+	}
+	if !j.request.Arrived.Before(d.latestStart(j, current)) {
+		return dragonflypass.Refuse(dragonflypass.ReasonLeaving, time.Second, "VM %s is taken down before the request could end", d.Self.ID)
+	}
+	return nil
+}
+
+// latestStart is the instant after which what is left of the request cannot end by its deadline.
+func (d *Dispatcher) latestStart(j *job, current *dragonflypass.Configuration) time.Time {
+	prefill, decode := rates(current, j.request.Model)
+	output := j.request.ExpectedTokens
+	if j.bounded {
+		output = j.request.OutputTokens
+	}
+	prompt := j.request.PromptTokens + j.tokens
+	seconds := float64(prompt)/prefill + float64(max(0, output-j.tokens))/decode
+	return j.request.Deadline.Add(-time.Duration(seconds * float64(time.Second)))
+}
+
+// target is the instant by which the first token is due: the rank's target, longer in proportion for long prompts.
+func target(request *dragonflypass.Request, policy dragonflypass.RankPolicy) time.Time {
+	scale := max(1, float64(request.PromptTokens)/float64(dragonflypass.ClassBounds[dragonflypass.ClassShort]))
+	return request.Arrived.Add(time.Duration(float64(policy.First) * scale))
+}
+
+// rates returns the slowest prompt processing and generation rates in tokens a second among the model's servers.
+func rates(current *dragonflypass.Configuration, model dragonflypass.ModelID) (prefill, decode float64) {
+	for _, server := range current.ServersOf(model) {
+		if prefill == 0 || server.Prefill < prefill {
+			prefill = server.Prefill
+		}
+		if decode == 0 || server.Decode < decode {
+			decode = server.Decode
+		}
+	}
+	if prefill == 0 {
+		return fallbackPrefill, fallbackDecode
+	}
+	return prefill, decode
+}
--- /dev/null
+++ b/core/dispatcher/stream.go
@@ -0,0 +1,236 @@
+package dispatcher
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"github.com/dragonflypass/dragonflypass"
+)
+
+const (
+	// moveLead is the time before a server's window at which its streams are moved.
+	moveLead = 3 * time.Second
+	// cancelTimeout bounds one cancellation at a server.
+	cancelTimeout = time.Second
+	// releaseTimeout bounds one attempt to return a permit.
+	releaseTimeout = time.Second
+	// releaseTries is the number of attempts to return a permit; after them its lease runs out.
+	releaseTries = 3
+)
+
+// heldStream is an open stream at a backend server.
+type heldStream struct {
+	held  dragonflypass.HeldStream
+	owner dragonflypass.VMID
+	// move ends the stream so that the request goes on elsewhere.
+	move context.CancelCauseFunc
+}
+
+// stream runs one attempt under the permit and returns the permit on every path.
+func (d *Dispatcher) stream(ctx context.Context, j *job, permit dragonflypass.Permit) (dragonflypass.Usage, error) {
+	ctx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	d.hold(j, permit, cancel)
+	defer d.unhold(permit.Stream)
+	before := j.tokens
+	r := &reader{dispatcher: d, job: j, stream: permit.Stream}
+	err := d.run(ctx, j, permit, r)
+	release := dragonflypass.PermitRelease{
+		Stream:       permit.Stream,
+		Server:       permit.Server,
+		OutputTokens: j.tokens - before,
+		Outcome:      d.outcome(ctx, permit, err),
+	}
+	d.release(permit.Owner, release)
+	if errors.Is(context.Cause(ctx), errMoved) {
+		return dragonflypass.Usage{}, errMoved
+	}
+	return r.usage, err
+}
+
+// run streams, and takes the stream up again once when only the connection broke.
+func (d *Dispatcher) run(ctx context.Context, j *job, permit dragonflypass.Permit, r *reader) error {
+	call := dragonflypass.EngineCall{
+		Permit:       permit,
+		Model:        j.request.Model,
+		Prompt:       j.request.Prompt,
+		Delivered:    j.delivered.String(),
+		From:         j.tokens,
+		OutputTokens: j.request.OutputTokens,
+		Deadline:     j.request.Deadline,
+	}
+	err := d.attempt(ctx, call, r)
+	if !errors.Is(err, dragonflypass.ErrUnavailable) && !errors.Is(err, dragonflypass.ErrRefused) {
+		j.sent = true
+	}
+	if ctx.Err() != nil || !errors.Is(err, dragonflypass.ErrBroken) {
+		return err
+	}
+	call.Attempt++
+	call.Reconnect = true
+	call.From = j.tokens
+	if err := d.attempt(ctx, call, r); err == nil || errors.Is(err, errCaller) {
+		return err
+	}
+	return dragonflypass.ErrBroken
+}
+
+// attempt makes one call; it succeeds only when the answer's own last frame came.
+func (d *Dispatcher) attempt(ctx context.Context, call dragonflypass.EngineCall, r *reader) error {
+	r.attempt = call.Attempt
+	err := d.Engine.Stream(ctx, call, r.accept)
+	if err == nil && !r.ended {
+		return dragonflypass.ErrBroken
+	}
+	return err
+}
+
+// outcome tells how the stream ended at the server, cancelling it there when this side cut it.
+func (d *Dispatcher) outcome(ctx context.Context, permit dragonflypass.Permit, err error) dragonflypass.StreamOutcome {
+	switch {
+	case err == nil:
+		return dragonflypass.OutcomeDone
+	case errors.Is(err, dragonflypass.ErrUnavailable), errors.Is(err, dragonflypass.ErrRefused):
+		return dragonflypass.OutcomeUnsent
+	}
+	ctx, cancel := d.Timer.WithDeadline(context.WithoutCancel(ctx), d.Timer.Now().Add(cancelTimeout))
+	defer cancel()
+	if d.Engine.Cancel(ctx, permit.Address, permit.Stream) != nil {
+		return dragonflypass.OutcomeLost
+	}
+	return dragonflypass.OutcomeCancelled
+}
+
+// release returns a permit to its owner, from a worker when the owner is another VM.
+func (d *Dispatcher) release(owner dragonflypass.VMID, release dragonflypass.PermitRelease) {
+	if owner == d.Self.ID {
+		d.Local.Release(release)
+		return
+	}
+	d.releaseLater(owner, release, releaseTries)
+}
+
+func (d *Dispatcher) releaseLater(owner dragonflypass.VMID, release dragonflypass.PermitRelease, tries int) {
+	for _, member := range d.Owners.Others() {
+		if member.VM.ID != owner {
+			continue
+		}
+		d.Pool.Submit(dragonflypass.JobPeer, func(ctx context.Context) {
+			ctx, cancel := d.Timer.WithDeadline(ctx, d.Timer.Now().Add(releaseTimeout))
+			defer cancel()
+			if d.Peers.Release(ctx, member.VM, release) != nil && tries > 1 {
+				d.releaseLater(owner, release, tries-1)
+			}
+		})
+		return
+	}
+}
+
+// reader checks a stream's frames and passes the caller its own.
+type reader struct {
+	dispatcher *Dispatcher
+	job        *job
+	stream     dragonflypass.StreamID
+	attempt    int
+	usage      dragonflypass.Usage
+	ended      bool
+}
+
+// accept takes a frame: one of another stream or attempt, or one that repeats, is dropped; a gap breaks the stream.
+func (r *reader) accept(frame dragonflypass.Frame) error {
+	j := r.job
+	if frame.Stream != r.stream || frame.Attempt != r.attempt || frame.Index < j.tokens {
+		r.dispatcher.Meter.Add(dragonflypass.CountFrameDropped, 1)
+		return nil
+	}
+	if frame.Index > j.tokens || (frame.End && frame.Count != j.tokens) {
+		return dragonflypass.ErrBroken
+	}
+	if frame.End {
+		r.ended = true
+		r.usage = dragonflypass.Usage{PromptTokens: frame.PromptTokens, OutputTokens: frame.Count, Finish: frame.Finish}
+	} else {
+		j.delivered.WriteString(frame.Text)
+		j.tokens += frame.Tokens
+		r.dispatcher.observe(j, frame.Tokens)
+	}
+	if err := j.sink.Accept(frame); err != nil {
+		return errCaller
+	}
+	return nil
+}
+
+// observe records the times of a frame's coming.
+func (d *Dispatcher) observe(j *job, tokens int) {
+	now := d.Timer.Now()
+	if j.last.IsZero() {
+		d.Meter.Observe(dragonflypass.MeasureFirstToken, j.request.Rank, j.request.Class(), now.Sub(j.request.Arrived))
+	} else {
+		d.Meter.Observe(dragonflypass.MeasureBetween, j.request.Rank, j.request.Class(), now.Sub(j.last)/time.Duration(max(1, tokens)))
+	}
+	j.last = now
+	d.Meter.Add(dragonflypass.CountTokens, int64(tokens))
+}
+
+func (d *Dispatcher) hold(j *job, permit dragonflypass.Permit, move context.CancelCauseFunc) {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	d.held[permit.Stream] = &heldStream{
+		owner: permit.Owner,
+		move:  move,
+		held: dragonflypass.HeldStream{
+			Stream: permit.Stream, Server: permit.Server, Tokens: j.request.Tokens(),
+			Fingerprint: j.request.Fingerprint, Rank: j.request.Rank, Account: j.request.Account, Deadline: j.request.Deadline,
+		},
+	}
+}
+
+func (d *Dispatcher) unhold(stream dragonflypass.StreamID) {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	delete(d.held, stream)
+}
+
+// Held returns the open streams at backend servers that the VM owns or granted.
+func (d *Dispatcher) Held(owner dragonflypass.VMID) []dragonflypass.HeldStream {
+	d.mutex.Lock()
+	all := make([]*heldStream, 0, len(d.held))
+	for _, h := range d.held {
+		all = append(all, h)
+	}
+	d.mutex.Unlock()
+	var held []dragonflypass.HeldStream
+	for _, h := range all {
+		if h.owner == owner || d.Owner(h.held.Server) == owner {
+			held = append(held, h.held)
+		}
+	}
+	return held
+}
+
+// Open returns the number of open streams.
+func (d *Dispatcher) Open() int {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	return len(d.held)
+}
+
+// Sweep claims this VM's own streams and moves those whose server is about to be taken down.
+func (d *Dispatcher) Sweep(context.Context) {
+	d.Local.Heard(dragonflypass.Heartbeat{From: d.Self, Incarnation: d.Incarnation, Held: d.Held(d.Self.ID)})
+	now := d.Timer.Now()
+	current := d.Current()
+	d.mutex.Lock()
+	var moves []context.CancelCauseFunc
+	for _, h := range d.held {
+		closing := current.Closing(string(h.held.Server), now)
+		if !closing.IsZero() && closing.Sub(now) <= moveLead {
+			moves = append(moves, h.move)
+		}
+	}
+	d.mutex.Unlock()
+	for _, move := range moves {
+		move(errMoved)
+	}
+}
--- /dev/null
+++ b/core/forwarder/doc.go
@@ -0,0 +1,2 @@
+// Package forwarder routes calls of plain services to their endpoints.
+package forwarder
--- /dev/null
+++ b/core/handler/doc.go
@@ -0,0 +1,2 @@
+// Package handler answers the other entry VMs.
+package handler
--- /dev/null
+++ b/core/handler/handler.go
@@ -0,0 +1,44 @@
+package handler
+
+import (
+	"github.com/dragonflypass/dragonflypass"
+	"github.com/dragonflypass/dragonflypass/core/configurer"
+	"github.com/dragonflypass/dragonflypass/core/detector"
+	"github.com/dragonflypass/dragonflypass/core/quarantiner"
+	"github.com/dragonflypass/dragonflypass/core/scheduler"
+)
+
+// Handler passes what other entry VMs say to the parts concerned.
+type Handler struct {
+	Scheduler  *scheduler.Scheduler
+	Detector   *detector.Detector
+	Configurer *configurer.Configurer
+	Guard      *quarantiner.Quarantiner
+}
+
+var _ dragonflypass.PeerHandler = (*Handler)(nil)
+
+// Acquire queues a request for a permit of this VM.
+func (h *Handler) Acquire(request dragonflypass.PermitRequest, told func(dragonflypass.Permit, error)) (withdraw func()) {
+	return h.Scheduler.Ask(request, told)
+}
+
+// Release takes a permit back.
+func (h *Handler) Release(release dragonflypass.PermitRelease) { h.Scheduler.Release(release) }
+
+// Exchange takes a heartbeat and returns this VM's own.
+func (h *Handler) Exchange(beat dragonflypass.Heartbeat) dragonflypass.Heartbeat {
+	return h.Detector.Exchange(beat)
+}
+
+// Entries returns configuration entries from the offset on.
+func (h *Handler) Entries(from dragonflypass.Offset) dragonflypass.Page {
+	return h.Configurer.Entries(from)
+}
+
+// Report takes word of a crash.
+func (h *Handler) Report(crash dragonflypass.Crash) {
+	if h.Guard.Crashed(crash) {
+		h.Scheduler.Recheck()
+	}
+}
--- /dev/null
+++ b/core/locker/locker_test.go
@@ -0,0 +1,28 @@
+package locker
+
+import (
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+)
+
+func TestOrder(t *testing.T) {
+	c := qt.New(t)
+	Check()
+	defer checking.Store(false)
+	first := &Mutex{Order: Members}
+	second := &Mutex{Order: Permits}
+
+	first.Lock()
+	second.Lock()
+	first.Unlock()
+	second.Unlock()
+
+	second.Lock()
+	c.Assert(first.Lock, qt.PanicMatches, "locker: members taken while holding permits")
+	second.Unlock()
+
+	first.Lock()
+	c.Assert(first.Lock, qt.PanicMatches, "locker: members taken while holding members")
+	first.Unlock()
+}
--- /dev/null
+++ b/core/quarantiner/doc.go
@@ -0,0 +1,3 @@
+// Package quarantiner finds requests that crash the backend servers which run
+// them, and keeps them from running again.
+package quarantiner
--- /dev/null
+++ b/core/quarantiner/quarantiner.go
@@ -0,0 +1,181 @@
+package quarantiner
+
+import (
+	"time"
+
+	"github.com/dragonflypass/dragonflypass"
+	"github.com/dragonflypass/dragonflypass/core/locker"
+)
+
+const (
+	// crashLimit is the number of crashes at which a request is quarantined.
+	crashLimit = 2
+	// suspectTime is how long a request stays suspect without a further crash.
+	suspectTime = 10 * time.Minute
+	// quarantineTime is how long a request stays quarantined.
+	quarantineTime = time.Hour
+)
+
+// Verdict tells whether a request may run.
+type Verdict uint8
+
+// The verdicts.
+const (
+	// Clear means that the request may run anywhere.
+	Clear Verdict = iota
+	// Alone means that the request may run, once at a time, where no other suspect runs.
+	Alone
+	// Quarantined means that the request may not run.
+	Quarantined
+)
+
+// Quarantiner keeps the table of suspects.
+type Quarantiner struct {
+	Timer  dragonflypass.Timer
+	Meter  dragonflypass.Meter
+	Logger dragonflypass.Logger
+
+	mutex    locker.Mutex
+	suspects map[dragonflypass.Fingerprint]*suspect
+	crashes  map[crashKey]time.Time
+}
+
+type suspect struct {
+	crashes int
+	until   time.Time
+}
+
+type crashKey struct {
+	server dragonflypass.ServerID
+	epoch  uint64
+}
+
+// New returns a quarantiner without suspects.
+func New() *Quarantiner {
+	return &Quarantiner{
+		mutex:    locker.Mutex{Order: locker.Suspects},
+		suspects: make(map[dragonflypass.Fingerprint]*suspect),
+		crashes:  make(map[crashKey]time.Time),
+	}
+}
+
+// Crashed notes that a server died while running the fingerprints and reports whether that was news.
+func (q *Quarantiner) Crashed(crash dragonflypass.Crash) bool {
+	now := q.Timer.Now()
+	q.mutex.Lock()
+	key := crashKey{server: crash.Server, epoch: crash.Epoch}
+	if _, known := q.crashes[key]; known {
+		q.mutex.Unlock()
+		return false
+	}
+	q.crashes[key] = now
+	suspects := q.blame(crash.Fingerprints, now)
+	quarantined := 0
+	for _, fingerprint := range suspects {
+		if q.accuse(fingerprint, now) {
+			quarantined++
+		}
+	}
+	q.mutex.Unlock()
+	q.Meter.Add(dragonflypass.CountServerCrashed, 1)
+	if quarantined > 0 {
+		q.Meter.Add(dragonflypass.CountQuarantined, int64(quarantined))
+		q.Logger.Warn("request quarantined", "server", crash.Server, "requests", quarantined)
+	}
+	return true
+}
+
+// blame returns the fingerprints that the crash may be due to: the earlier
+// suspects among them if there are any, else all. It is called with the mutex held.
+func (q *Quarantiner) blame(fingerprints []dragonflypass.Fingerprint, now time.Time) []dragonflypass.Fingerprint {
+	var earlier []dragonflypass.Fingerprint
+	for _, fingerprint := range fingerprints {
+		if s, ok := q.suspects[fingerprint]; ok && now.Before(s.until) {
+			earlier = append(earlier, fingerprint)
+		}
+	}
+	if len(earlier) > 0 {
+		return earlier
+	}
+	return fingerprints
+}
+
+// accuse counts a crash and reports whether the fingerprint is newly quarantined; it is called with the mutex held.
+func (q *Quarantiner) accuse(fingerprint dragonflypass.Fingerprint, now time.Time) bool {
+	s, ok := q.suspects[fingerprint]
+	if !ok || !now.Before(s.until) {
+		s = &suspect{}
+		q.suspects[fingerprint] = s
+	}
+	s.crashes++
+	if s.crashes < crashLimit {
+		s.until = now.Add(suspectTime)
+		return false
+	}
+	s.until = now.Add(quarantineTime)
+	return s.crashes == crashLimit
+}
+
+// Finished clears a suspect that ran to its end.
+func (q *Quarantiner) Finished(fingerprint dragonflypass.Fingerprint) {
+	q.mutex.Lock()
+	defer q.mutex.Unlock()
+	if s, ok := q.suspects[fingerprint]; ok && s.crashes < crashLimit {
+		delete(q.suspects, fingerprint)
+	}
+}
+
+// Check returns whether the fingerprint may run.
+func (q *Quarantiner) Check(fingerprint dragonflypass.Fingerprint) Verdict {
+	now := q.Timer.Now()
+	q.mutex.Lock()
+	defer q.mutex.Unlock()
+	s, ok := q.suspects[fingerprint]
+	if !ok {
+		return Clear
+	}
+	if !now.Before(s.until) {
+		delete(q.suspects, fingerprint)
+		return Clear
+	}
+	if s.crashes >= crashLimit {
+		return Quarantined
+	}
+	return Alone
+}
+
+// Sweep forgets crashes and suspects whose time has passed.
+func (q *Quarantiner) Sweep() {
+	now := q.Timer.Now()
+	q.mutex.Lock()
+	defer q.mutex.Unlock()
+	for key, at := range q.crashes {
+		if now.Sub(at) > quarantineTime {
+			delete(q.crashes, key)
+		}
+	}
+	for fingerprint, s := range q.suspects {
+		if !now.Before(s.until) {
+			delete(q.suspects, fingerprint)
+		}
+	}
+}
+
+// Row is one suspect in a dump.
+type Row struct {
+	Account dragonflypass.AccountID
+	Model   dragonflypass.ModelID
+	Crashes int
+	Until   time.Time
+}
+
+// Rows returns the suspects for a dump.
+func (q *Quarantiner) Rows() []Row {
+	q.mutex.Lock()
+	defer q.mutex.Unlock()
+	rows := make([]Row, 0, len(q.suspects))
+	for fingerprint, s := range q.suspects {
+		rows = append(rows, Row{Account: fingerprint.Account, Model: fingerprint.Model, Crashes: s.crashes, Until: s.until})
+	}
+	return rows
+}
--- /dev/null
+++ b/core/scheduler/report.go
@@ -0,0 +1,136 @@
+package scheduler
+
+import (
+	"time"
+
+	"github.com/dragonflypass/dragonflypass"
+)
+
+// Report takes a server's report: streams without a permit count against its
+// memory and are cancelled when no entry VM claims them in time; permits that
+// the server no longer knows are returned.
+func (s *Scheduler) Report(report dragonflypass.ServerReport) {
+	now := s.Timer.Now()
+	s.serversLock.Lock()
+	s.queuesLock.Lock()
+	s.permitsLock.Lock()
+	srv, ok := s.servers[report.Server]
+	var orphans []dragonflypass.StreamID
+	if ok {
+		if srv.reported && srv.epoch != report.Epoch {
+			s.forget(srv)
+		}
+		srv.reachable, srv.reported, srv.epoch = true, true, report.Epoch
+		srv.closing = s.Current().Closing(string(report.Server), now)
+		srv.slots = s.Current().Slots(&srv.declared, now)
+		orphans = s.compare(srv, report, now)
+	}
+	s.permitsLock.Unlock()
+	s.queuesLock.Unlock()
+	s.serversLock.Unlock()
+	for _, stream := range orphans {
+		s.cancelLater(report.Server, stream)
+	}
+	s.dispatch()
+}
+
+// compare settles permits against the report and returns the streams to cancel; it is called with all tables locked.
+func (s *Scheduler) compare(srv *server, report dragonflypass.ServerReport, now time.Time) []dragonflypass.StreamID {
+	var cancel []dragonflypass.StreamID
+	reported := make(map[dragonflypass.StreamID]bool, len(report.Streams))
+	for _, stream := range report.Streams {
+		reported[stream.Stream] = true
+		p, ok := s.permits[stream.Stream]
+		if !ok {
+			s.meet(srv, stream, now)
+			continue
+		}
+		if stream.Prefilled {
+			srv.prefilled(stream.Stream)
+		}
+		if p.orphan {
+			cancel = append(cancel, stream.Stream)
+		}
+	}
+	for stream, p := range s.permits {
+		if p.held.Server == srv.declared.ID && !reported[stream] && s.vanished(p, now) {
+			s.drop(p)
+		}
+	}
+	return cancel
+}
+
+// meet accounts for a reported stream without a permit, as after a change of
+// owner; its entry VM has until the lease ends to claim it.
+func (s *Scheduler) meet(srv *server, stream dragonflypass.StreamReport, now time.Time) {
+	if at, gone := s.released[stream.Stream]; gone && now.Sub(at) <= s.Lag {
+		return
+	}
+	held := dragonflypass.HeldStream{Stream: stream.Stream, Server: srv.declared.ID, Tokens: stream.Tokens}
+	s.permits[stream.Stream] = &permit{held: held, weight: 1, granted: now, heard: now, strange: true}
+	srv.reserved += stream.Tokens
+	srv.streams++
+}
+
+// vanished reports whether an orphan that is missing from the latest report is gone from the server.
+func (s *Scheduler) vanished(p *permit, now time.Time) bool {
+	return p.orphan && now.Sub(p.since) > s.Lag
+}
+
+// Unreachable notes that a server's report failed, and that the server died when refused says that nothing listens.
+// It returns what was running when the death is news.
+func (s *Scheduler) Unreachable(id dragonflypass.ServerID, refused bool) (dragonflypass.Crash, bool) {
+	s.serversLock.Lock()
+	defer s.serversLock.Unlock()
+	s.queuesLock.Lock()
+	defer s.queuesLock.Unlock()
+	s.permitsLock.Lock()
+	defer s.permitsLock.Unlock()
+	srv, ok := s.servers[id]
+	if !ok || !srv.reachable {
+		return dragonflypass.Crash{}, false
+	}
+	srv.reachable = false
+	if !refused {
+		return dragonflypass.Crash{}, false
+	}
+	crash := s.crash(srv)
+	s.forget(srv)
+	return crash, true
+}
+
+// Restarted returns what was running on a server whose epoch has changed, when that is news.
+func (s *Scheduler) Restarted(report dragonflypass.ServerReport) (dragonflypass.Crash, bool) {
+	s.serversLock.Lock()
+	defer s.serversLock.Unlock()
+	s.permitsLock.Lock()
+	defer s.permitsLock.Unlock()
+	srv, ok := s.servers[report.Server]
+	if !ok || !srv.reported || srv.epoch == report.Epoch {
+		return dragonflypass.Crash{}, false
+	}
+	return s.crash(srv), true
+}
+
+// crash lists the fingerprints that ran on the server; it is called with the servers and permits locked.
+func (s *Scheduler) crash(srv *server) dragonflypass.Crash {
+	crash := dragonflypass.Crash{Server: srv.declared.ID, Epoch: srv.epoch, At: s.Timer.Now()}
+	for _, p := range s.permits {
+		if p.held.Server == srv.declared.ID && p.held.Fingerprint != (dragonflypass.Fingerprint{}) {
+			crash.Fingerprints = append(crash.Fingerprints, p.held.Fingerprint)
+		}
+	}
+	return crash
+}
+
+// forget drops the accounting of a server that died; its memory died with it.
+func (s *Scheduler) forget(srv *server) {
+	for _, p := range s.permits {
+		if p.held.Server == srv.declared.ID {
+			s.drop(p)
+		}
+	}
+	srv.reported = false
+	srv.shortFree = time.Time{}
+	srv.hasLong = false
+}
--- /dev/null
+++ b/core/scheduler/scheduler.go
@@ -0,0 +1,339 @@
+package scheduler
+
+import (
+	"context"
+	"time"
+
+	"github.com/dragonflypass/dragonflypass"
+	"github.com/dragonflypass/dragonflypass/core/locker"
+	"github.com/dragonflypass/dragonflypass/core/quarantiner"
+)
+
+const (
+	// sweepEvery is the time between two looks for requests that wait in vain and permits that lapsed.
+	sweepEvery = 100 * time.Millisecond
+	// cancelTimeout bounds one cancellation at a server.
+	cancelTimeout = 2 * time.Second
+	// retryMin is the shortest time after which a refused request is told to come back.
+	retryMin = time.Second
+)
+
+// Scheduler grants permits for the backend servers that this VM owns.
+//
+// Its tables are locked in the order servers, queues, permits.
+type Scheduler struct {
+	Self    dragonflypass.VMID
+	Timer   dragonflypass.Timer
+	Pool    dragonflypass.Pool
+	Engine  dragonflypass.Engine
+	Meter   dragonflypass.Meter
+	Guard   *quarantiner.Quarantiner
+	Queue   dragonflypass.Queue
+	Choice  dragonflypass.Placement
+	Current func() *dragonflypass.Configuration
+	// Lease is the time without word from an entry VM after which its permits lapse.
+	Lease time.Duration
+	// Lag is the longest time by which a server's report trails.
+	Lag time.Duration
+	// Leaving reports whether this VM's shutdown has begun.
+	Leaving func() bool
+
+	serversLock locker.Mutex
+	servers     map[dragonflypass.ServerID]*server
+	rates       map[dragonflypass.ModelID]*rate
+
+	queuesLock locker.Mutex
+
+	permitsLock locker.Mutex
+	permits     map[dragonflypass.StreamID]*permit
+	// released holds the streams whose release came lately, so that a late claim does not revive them.
+	released map[dragonflypass.StreamID]time.Time
+
+	// wakeAt is when dispatch runs again for a server whose prompt processing has room then; the servers' lock protects it.
+	wakeAt   time.Time
+	wakeStop func()
+}
+
+// New returns a scheduler that owns no server.
+func New() *Scheduler {
+	return &Scheduler{
+		serversLock: locker.Mutex{Order: locker.Servers},
+		queuesLock:  locker.Mutex{Order: locker.Queues},
+		permitsLock: locker.Mutex{Order: locker.Permits},
+		servers:     make(map[dragonflypass.ServerID]*server),
+		rates:       make(map[dragonflypass.ModelID]*rate),
+		permits:     make(map[dragonflypass.StreamID]*permit),
+		released:    make(map[dragonflypass.StreamID]time.Time),
+	}
+}
+
+// Run sweeps the tables until ctx ends.
+func (s *Scheduler) Run(ctx context.Context) {
+	stop := s.Timer.Every(dragonflypass.JobSweep, sweepEvery, s.Sweep)
+	defer stop()
+	<-ctx.Done()
+}
+
+// outcome is what a waiting request is told.
+type outcome struct {
+	permit dragonflypass.Permit
+	err    error
+}
+
+// Acquire waits for a permit; when ctx ends first the request is withdrawn.
+func (s *Scheduler) Acquire(ctx context.Context, request dragonflypass.PermitRequest) (dragonflypass.Permit, error) {
+	told := make(chan outcome, 1)
+	withdraw := s.Ask(request, func(p dragonflypass.Permit, err error) { told <- outcome{permit: p, err: err} })
+	select {
+	case o := <-told:
+		return o.permit, o.err
+	case <-ctx.Done():
+		withdraw()
+		return dragonflypass.Permit{}, context.Cause(ctx)
+	}
+}
+
+// Ask queues a request and tells its outcome once; withdraw takes the request, or the permit it was given, back.
+func (s *Scheduler) Ask(request dragonflypass.PermitRequest, told func(dragonflypass.Permit, error)) (withdraw func()) {
+	waiting := &dragonflypass.Waiting{Request: request, Since: s.Timer.Now(), Grant: told}
+	s.Enqueue(waiting)
+	return func() {
+		if !s.Withdraw(waiting) {
+			s.Release(dragonflypass.PermitRelease{Stream: request.Stream, Outcome: dragonflypass.OutcomeUnsent})
+		}
+	}
+}
+
+// Enqueue queues a request, or refuses it at once when it cannot end in time.
+func (s *Scheduler) Enqueue(waiting *dragonflypass.Waiting) {
+	now := s.Timer.Now()
+	if refusal := s.admit(waiting, now); refusal != nil {
+		s.Meter.Add(dragonflypass.CountPermitRefused, 1)
+		waiting.Grant(dragonflypass.Permit{}, refusal)
+		return
+	}
+	s.dispatch()
+}
+
+// admit puts the request into the queue or returns why not.
+func (s *Scheduler) admit(waiting *dragonflypass.Waiting, now time.Time) *dragonflypass.Refusal {
+	request := &waiting.Request
+	if s.Leaving() {
+		return s.refuseLeaving()
+	}
+	if s.Guard.Check(request.Fingerprint) == quarantiner.Quarantined {
+		return refuseQuarantined()
+	}
+	s.serversLock.Lock()
+	defer s.serversLock.Unlock()
+	s.queuesLock.Lock()
+	defer s.queuesLock.Unlock()
+	if refusal := s.possible(request, now); refusal != nil {
+		return refusal
+	}
+	wait := s.Queue.Wait(request, s.rateOf(request.Model, now), now)
+	if late := now.Add(wait).Sub(request.LatestStart); late > 0 {
+		retry := max(retryMin, late.Round(time.Second))
+		return dragonflypass.Refuse(dragonflypass.ReasonBusy, retry, "the queue is %s too long for rank %s", late.Round(time.Millisecond), request.Rank)
+	}
+	s.Queue.Push(waiting, now)
+	return nil
+}
+
+func refuseQuarantined() *dragonflypass.Refusal {
+	return dragonflypass.Refuse(dragonflypass.ReasonQuarantined, 0, "backend servers crashed while running this request")
+}
+
+// possible tells whether any owned server could ever run the request; it is called with the servers locked.
+func (s *Scheduler) possible(request *dragonflypass.PermitRequest, now time.Time) *dragonflypass.Refusal {
+	serving, fitting := false, false
+	for _, srv := range s.servers {
+		if !srv.mayServe(request) {
+			continue
+		}
+		serving = true
+		fitting = fitting || (srv.declared.Memory >= request.Tokens() && !srv.closes(request, now))
+	}
+	switch {
+	case !serving:
+		return dragonflypass.Refuse(dragonflypass.ReasonNoServer, retryMin, "VM %s has no backend server for model %s", s.Self, request.Model)
+	case !fitting:
+		return dragonflypass.Refuse(dragonflypass.ReasonNoServer, retryMin, "no backend server of VM %s fits %d tokens before its next window", s.Self, request.Tokens())
+	}
+	return nil
+}
+
+// Withdraw takes a waiting request out and reports whether it was still waiting.
+func (s *Scheduler) Withdraw(waiting *dragonflypass.Waiting) bool {
+	s.queuesLock.Lock()
+	defer s.queuesLock.Unlock()
+	return s.Queue.Remove(waiting)
+}
+
+// grant is a permit on its way to the request that waited for it.
+type grant struct {
+	waiting *dragonflypass.Waiting
+	permit  dragonflypass.Permit
+}
+
+// dispatch grants what fits and tells the requests outside the locks.
+func (s *Scheduler) dispatch() {
+	for _, g := range s.grantAll() {
+		s.Meter.Add(dragonflypass.CountPermitGranted, 1)
+		class := dragonflypass.ClassOf(g.waiting.Request.PromptTokens)
+		s.Meter.Observe(dragonflypass.MeasureQueue, g.waiting.Request.Rank, class, s.Timer.Now().Sub(g.waiting.Since))
+		g.waiting.Grant(g.permit, nil)
+	}
+}
+
+func (s *Scheduler) grantAll() []grant {
+	now := s.Timer.Now()
+	s.serversLock.Lock()
+	defer s.serversLock.Unlock()
+	s.queuesLock.Lock()
+	defer s.queuesLock.Unlock()
+	s.permitsLock.Lock()
+	defer s.permitsLock.Unlock()
+	var grants []grant
+	for s.Queue.Len() > 0 {
+		var chosen *server
+		holds := make(map[dragonflypass.ServerID]dragonflypass.Rank)
+		waiting := s.Queue.Next(now, func(w *dragonflypass.Waiting) bool {
+			chosen = s.fit(w, now, holds)
+			return chosen != nil
+		})
+		if waiting == nil {
+			break
+		}
+		grants = append(grants, grant{waiting: waiting, permit: s.give(waiting, chosen, now)})
+	}
+	s.wakeLater(now)
+	return grants
+}
+
+// fit returns the server that runs the request now, nil when none does.
+// A request past its target that only lacks memory keeps the freest server from its equals and inferiors.
+func (s *Scheduler) fit(w *dragonflypass.Waiting, now time.Time, holds map[dragonflypass.ServerID]dragonflypass.Rank) *server {
+	request := &w.Request
+	suspect, may := s.cleared(request)
+	if !may {
+		return nil
+	}
+	var candidates []dragonflypass.Candidate
+	var freest *server
+	serving := 0
+	for _, srv := range s.servers {
+		if !srv.mayServe(request) || srv.closes(request, now) || (suspect && srv.suspects > 0) {
+			continue
+		}
+		serving++
+		if rank, held := holds[srv.declared.ID]; held && request.Rank >= rank {
+			continue
+		}
+		switch {
+		case srv.free() < request.Tokens() || srv.streams >= srv.slots:
+			if srv.declared.Memory >= request.Tokens() && srv.freer(freest) {
+				freest = srv
+			}
+		case srv.open(request, now):
+			candidates = append(candidates, srv.candidate(request, now))
+		}
+	}
+	if len(candidates) > 0 {
+		s.Choice.Order(candidates)
+		return s.servers[dragonflypass.ServerID(candidates[0].Name)]
+	}
+	if freest != nil && now.After(request.Target) && len(holds) < max(1, serving/2) {
+		holds[freest.declared.ID] = request.Rank
+	}
+	return nil
+}
+
+// cleared reports whether the request is a suspect and whether it may run now; it is called with the permits locked.
+func (s *Scheduler) cleared(request *dragonflypass.PermitRequest) (suspect, may bool) {
+	verdict := s.Guard.Check(request.Fingerprint)
+	suspect = verdict != quarantiner.Clear || request.Breaks > 0
+	if verdict == quarantiner.Quarantined || (suspect && s.running(request.Fingerprint)) {
+		return suspect, false
+	}
+	return suspect, true
+}
+
+// running reports whether a stream of the fingerprint runs at an owned server; it is called with the permits locked.
+func (s *Scheduler) running(fingerprint dragonflypass.Fingerprint) bool {
+	for _, p := range s.permits {
+		if p.held.Fingerprint == fingerprint {
+			return true
+		}
+	}
+	return false
+}
+
+// wakeLater has dispatch run again when the next server's prompt processing has room; it is called with the tables locked.
+func (s *Scheduler) wakeLater(now time.Time) {
+	if s.Queue.Len() == 0 {
+		return
+	}
+	var next time.Time
+	for _, srv := range s.servers {
+		at := srv.opens()
+		if at.After(now) && (next.IsZero() || at.Before(next)) {
+			next = at
+		}
+	}
+	if next.IsZero() {
+		return
+	}
+	if s.wakeAt.After(now) && !next.Before(s.wakeAt) {
+		return
+	}
+	if s.wakeStop != nil {
+		s.wakeStop()
+	}
+	s.wakeAt = next
+	s.wakeStop = s.Timer.At(dragonflypass.JobSweep, next, func(context.Context) { s.dispatch() })
+}
+
+// Sweep refuses requests that wait in vain, takes back permits that lapsed and grants what fits.
+func (s *Scheduler) Sweep(context.Context) {
+	now := s.Timer.Now()
+	s.queuesLock.Lock()
+	expired := s.Queue.Expired(now)
+	s.queuesLock.Unlock()
+	for _, w := range expired {
+		s.Meter.Add(dragonflypass.CountPermitRefused, 1)
+		w.Grant(dragonflypass.Permit{}, dragonflypass.Refuse(dragonflypass.ReasonBusy, retryMin, "no backend server came free in time for rank %s", w.Request.Rank))
+	}
+	s.lapse(now)
+	s.dispatch()
+}
+
+// Recheck refuses waiting requests that no owned server can run any more.
+func (s *Scheduler) Recheck() {
+	now := s.Timer.Now()
+	leaving := s.Leaving()
+	refusals := make(map[*dragonflypass.Waiting]*dragonflypass.Refusal)
+	s.serversLock.Lock()
+	s.queuesLock.Lock()
+	refused := s.Queue.Sift(func(w *dragonflypass.Waiting) bool {
+		refusal := s.possible(&w.Request, now)
+		switch {
+		case leaving:
+			refusal = s.refuseLeaving()
+		case s.Guard.Check(w.Request.Fingerprint) == quarantiner.Quarantined:
+			refusal = refuseQuarantined()
+		}
+		refusals[w] = refusal
+		return refusal == nil
+	})
+	s.queuesLock.Unlock()
+	s.serversLock.Unlock()
+	for _, w := range refused {
+		s.Meter.Add(dragonflypass.CountPermitRefused, 1)
+		w.Grant(dragonflypass.Permit{}, refusals[w])
+	}
+}
+
+func (s *Scheduler) refuseLeaving() *dragonflypass.Refusal {
+	return dragonflypass.Refuse(dragonflypass.ReasonLeaving, retryMin, "VM %s is leaving", s.Self)
+}
--- /dev/null
+++ b/core/scheduler/server.go
@@ -0,0 +1,199 @@
+package scheduler
+
+import (
+	"slices"
+	"time"
+
+	"github.com/dragonflypass/dragonflypass"
+)
+
+const (
+	// prefillAhead is how much prompt processing may wait at a server before it takes no more.
+	prefillAhead = 50 * time.Millisecond
+	// closingMargin is added to the predicted end of a request before a window.
+	closingMargin = 2 * time.Second
+	// closingStop is the time before a window in which nothing is started.
+	closingStop = 5 * time.Second
+	// prefillSlack multiplies the predicted prompt processing time before a window.
+	prefillSlack = 2
+	// longShare is the part of a server's prompt processing left to a long prompt beside short ones.
+	longShare = 0.25
+	// rateHalfLife is the time in which prompt tokens once granted count half in the observed rate.
+	rateHalfLife = 5 * time.Second
+	// rateSettles is the time of unbroken backlog after which the observed rate is used.
+	rateSettles = 5 * time.Second
+)
+
+// server is the accounting of one owned backend server.
+type server struct {
+	declared dragonflypass.BackendServer
+	closing  time.Time
+	slots    int
+	// reachable is set while the server's reports arrive.
+	reachable bool
+	epoch     uint64
+	// reported is set once a report of this epoch has come.
+	reported bool
+	// reserved is the memory of the live permits in tokens.
+	reserved int
+	streams  int
+	suspects int
+	// shortFree is the instant at which the short prompts given so far are processed.
+	shortFree time.Time
+	// longFree is the instant at which the long prompt given last is predicted to be processed.
+	longFree time.Time
+	// long is the stream of that prompt while it is being processed.
+	long    dragonflypass.StreamID
+	hasLong bool
+}
+
+func (s *server) free() int { return s.declared.Memory - s.reserved }
+
+// freer reports whether the server has more free memory than the other, which may be nil.
+func (s *server) freer(other *server) bool {
+	if other == nil || s.free() != other.free() {
+		return other == nil || s.free() > other.free()
+	}
+	return s.declared.ID < other.declared.ID
+}
+
+// mayServe reports whether the server is up, runs the model and is not excluded.
+func (s *server) mayServe(request *dragonflypass.PermitRequest) bool {
+	if !s.reachable || !s.reported || !s.declared.Serves(request.Model) {
+		return false
+	}
+	if request.Only != "" && request.Only != s.declared.ID {
+		return false
+	}
+	return !slices.Contains(request.Exclude, s.declared.ID)
+}
+
+// closes reports whether the request might not end before the server's next window.
+func (s *server) closes(request *dragonflypass.PermitRequest, now time.Time) bool {
+	if s.closing.IsZero() {
+		return false
+	}
+	end := now.Add(prefillSlack*s.prefill(request.PromptTokens) + s.decode(request.OutputTokens) + closingMargin)
+	return now.Add(closingStop).After(s.closing) || end.After(s.closing)
+}
+
+// prefill is the predicted processing time of a prompt alone on the server.
+func (s *server) prefill(tokens int) time.Duration {
+	return time.Duration(float64(tokens) / s.declared.Prefill * float64(time.Second))
+}
+
+// decode is the predicted generation time of an answer.
+func (s *server) decode(tokens int) time.Duration {
+	return time.Duration(float64(tokens) / s.declared.Decode * float64(time.Second))
+}
+
+// isLong reports whether the prompt counts as long, of which a server processes one at a time.
+func isLong(tokens int) bool { return dragonflypass.ClassOf(tokens) >= dragonflypass.ClassLong }
+
+// open reports whether the server's prompt processing has room for the request.
+func (s *server) open(request *dragonflypass.PermitRequest, now time.Time) bool {
+	if isLong(request.PromptTokens) {
+		return !s.hasLong
+	}
+	return s.shortFree.Sub(now) <= prefillAhead
+}
+
+// opens is the instant at which the server has room for another short prompt.
+func (s *server) opens() time.Time { return s.shortFree.Add(-prefillAhead) }
+
+// candidate describes the server to the placement policy.
+func (s *server) candidate(request *dragonflypass.PermitRequest, now time.Time) dragonflypass.Candidate {
+	return dragonflypass.Candidate{
+		Name:        string(s.declared.ID),
+		Wait:        max(0, s.shortFree.Sub(now)) + s.prefill(request.PromptTokens),
+		Outstanding: s.streams,
+		Free:        s.free(),
+	}
+}
+
+// start accounts for a granted request.
+func (s *server) start(request *dragonflypass.PermitRequest, now time.Time) {
+	s.reserved += request.Tokens()
+	s.streams++
+	span := s.prefill(request.PromptTokens)
+	if isLong(request.PromptTokens) {
+		s.long, s.hasLong = request.Stream, true
+		s.longFree = now.Add(time.Duration(float64(span) / longShare))
+		return
+	}
+	if s.hasLong {
+		span = time.Duration(float64(span) / (1 - longShare))
+	}
+	s.shortFree = later(s.shortFree, now).Add(span)
+}
+
+// stop accounts for the end of a request.
+func (s *server) stop(stream dragonflypass.StreamID, tokens int) {
+	s.reserved -= tokens
+	s.streams--
+	s.prefilled(stream)
+}
+
+// prefilled notes that the stream's prompt has been processed.
+func (s *server) prefilled(stream dragonflypass.StreamID) {
+	if s.hasLong && s.long == stream {
+		s.hasLong = false
+	}
+}
+
+func later(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
+
+// rate is the prompt tokens a second that a model's servers were given lately.
+type rate struct {
+	granted float64
+	at      time.Time
+	// backlog is the instant since which requests have been waiting without a break.
+	backlog time.Time
+}
+
+// Own sets the backend servers that this VM owns and refuses what waits for none of them.
+func (s *Scheduler) Own(servers []dragonflypass.BackendServer) {
+	now := s.Timer.Now()
+	current := s.Current()
+	s.serversLock.Lock()
+	s.queuesLock.Lock()
+	s.permitsLock.Lock()
+	kept := make(map[dragonflypass.ServerID]*server, len(servers))
+	for _, declared := range servers {
+		srv, ok := s.servers[declared.ID]
+		if !ok || srv.declared.Address != declared.Address {
+			srv = &server{}
+		}
+		srv.declared = declared
+		srv.closing = current.Closing(string(declared.ID), now)
+		srv.slots = current.Slots(&declared, now)
+		kept[declared.ID] = srv
+	}
+	for stream, p := range s.permits {
+		if kept[p.held.Server] == nil {
+			delete(s.permits, stream)
+		}
+	}
+	s.servers = kept
+	s.permitsLock.Unlock()
+	s.queuesLock.Unlock()
+	s.serversLock.Unlock()
+	s.Recheck()
+	s.dispatch()
+}
+
+// Owned returns the backend servers that this VM owns.
+func (s *Scheduler) Owned() []dragonflypass.BackendServer {
+	s.serversLock.Lock()
+	defer s.serversLock.Unlock()
+	owned := make([]dragonflypass.BackendServer, 0, len(s.servers))
+	for _, srv := range s.servers {
+		owned = append(owned, srv.declared)
+	}
+	return owned
+}
--- /dev/null
+++ b/core/worker/worker_test.go
@@ -0,0 +1,44 @@
+package worker_test
+
+import (
+	"context"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/dragonflypass/dragonflypass"
+	"github.com/dragonflypass/dragonflypass/core/worker"
+	"github.com/dragonflypass/dragonflypass/internal/fake"
+)
+
+func TestPoolShedsByKind(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		ctx, cancel := context.WithCancel(t.Context())
+		meter := fake.NewMeter()
+		pool := &worker.Pool{Workers: 2, Room: 3, Meter: meter}
+		done := make(chan struct{})
+		go func() { pool.Run(ctx); close(done) }()
+
+		var ran atomic.Int32
+		slow := func(context.Context) { time.Sleep(time.Second); ran.Add(1) }
+		accepted := 0
+		for range 10 {
+			if pool.Submit(dragonflypass.JobReport, slow) {
+				accepted++
+			}
+		}
+		c.Check(accepted < 10, qt.IsTrue)
+		c.Check(meter.Count(dragonflypass.CountJobShed), qt.Equals, int64(10-accepted))
+		c.Check(pool.Submit(dragonflypass.JobHeartbeat, slow), qt.IsTrue)
+		time.Sleep(10 * time.Second)
+		c.Check(ran.Load(), qt.Equals, int32(accepted+1))
+
+		cancel()
+		<-done
+		c.Check(pool.Submit(dragonflypass.JobReport, slow), qt.IsFalse)
+	})
+}
