Add the adapters and the stand-ins

WebSocket and CBOR between entry VMs, HTTP towards callers, operators, engines, plain services and the platform; small stand-ins for the outside systems.

--- /dev/null
+++ b/adapter/administrator/doc.go
@@ -0,0 +1,2 @@
+// Package administrator is the HTTP front end for operators.
+package administrator
--- /dev/null
+++ b/adapter/appender/appender.go
@@ -0,0 +1,158 @@
+package appender
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/netip"
+	"net/url"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"github.com/dragonflypass/dragonflypass"
+	"github.com/dragonflypass/dragonflypass/adapter/encoder"
+)
+
+const (
+	// dialTimeout bounds the making of a connection to the log.
+	dialTimeout = time.Second
+	// pageBytes is the largest page read in bytes.
+	pageBytes = 64 << 20
+)
+
+// Added is the JSON answer to an append.
+type Added struct {
+	Offset uint64 `json:"offset"`
+}
+
+// Page is the JSON form of a run of log entries.
+type Page struct {
+	First   uint64  `json:"first"`
+	Next    uint64  `json:"next"`
+	Entries []Entry `json:"entries"`
+}
+
+// Entry is the JSON form of one log entry.
+type Entry struct {
+	Offset uint64          `json:"offset"`
+	At     time.Time       `json:"at"`
+	Data   json.RawMessage `json:"data"`
+}
+
+// Appender calls the platform's log over HTTP.
+type Appender struct {
+	// Address is where the platform's service listens.
+	Address netip.AddrPort
+	// Credential is the bearer credential sent along, empty for none.
+	Credential string
+
+	client *http.Client
+}
+
+var _ dragonflypass.Log = (*Appender)(nil)
+
+// New returns a client of the log at the address.
+func New(address netip.AddrPort) *Appender {
+	dialer := &net.Dialer{Timeout: dialTimeout}
+	transport := &http.Transport{DialContext: dialer.DialContext, IdleConnTimeout: time.Minute}
+	return &Appender{Address: address, client: &http.Client{Transport: transport}}
+}
+
+// Close drops the unused connections.
+func (a *Appender) Close() { a.client.CloseIdleConnections() }
+
+func (a *Appender) url(stream dragonflypass.Stream) string {
+	return fmt.Sprintf("http://%s/streams/%s", a.Address, url.PathEscape(string(stream)))
+}
+
+func (a *Appender) do(ctx context.Context, method, target string, body io.Reader) (*http.Response, error) {
+	request, err := http.NewRequestWithContext(ctx, method, target, body)
+	if err != nil {
+		return nil, eris.Wrap(dragonflypass.ErrRefused, err.Error())
+	}
+	// Without GetBody the transport never sends the request a second time by itself.
+	request.GetBody = nil
+	if a.Credential != "" {
+		request.Header.Set("Authorization", "Bearer "+a.Credential)
+	}
+	response, err := a.client.Do(request)
+	if err != nil {
+		return nil, sendError(err)
+	}
+	return response, nil
+}
+
+// sendError tells a connection that was never made from a call whose answer was lost.
+func sendError(err error) error {
+	var op *net.OpError
+	if errors.As(err, &op) && op.Op == "dial" {
+		return eris.Wrap(dragonflypass.ErrUnavailable, err.Error())
+	}
+	return eris.Wrap(dragonflypass.ErrUncertain, err.Error())
+}
+
+// Append adds the record and returns its offset.
+func (a *Appender) Append(ctx context.Context, stream dragonflypass.Stream, record dragonflypass.Record) (dragonflypass.Offset, error) {
+	data, err := encoder.Encode(record)
+	if err != nil {
+		return 0, eris.Wrap(dragonflypass.ErrRefused, err.Error())
+	}
+	response, err := a.do(ctx, http.MethodPost, a.url(stream), bytes.NewReader(data))
+	if err != nil {
+		return 0, err
+	}
+	defer func() { _ = response.Body.Close() }()
+	switch response.StatusCode {
+	case http.StatusCreated:
+	case http.StatusTooManyRequests, http.StatusBadRequest, http.StatusUnauthorized, http.StatusRequestEntityTooLarge:
+		return 0, eris.Wrap(dragonflypass.ErrRefused, response.Status)
+	default:
+		return 0, eris.Wrap(dragonflypass.ErrUncertain, response.Status)
+	}
+	var added Added
+	if err := json.NewDecoder(response.Body).Decode(&added); err != nil {
+		return 0, eris.Wrap(dragonflypass.ErrUncertain, err.Error())
+	}
+	return dragonflypass.Offset(added.Offset), nil
+}
+
+// Read returns up to limit entries from the offset on.
+func (a *Appender) Read(ctx context.Context, stream dragonflypass.Stream, from dragonflypass.Offset, limit int) (dragonflypass.Page, error) {
+	target := fmt.Sprintf("%s?from=%d&limit=%d", a.url(stream), from, limit)
+	response, err := a.do(ctx, http.MethodGet, target, nil)
+	if err != nil {
+		return dragonflypass.Page{}, err
+	}
+	defer func() { _ = response.Body.Close() }()
+	if response.StatusCode != http.StatusOK && response.StatusCode != http.StatusGone {
+		return dragonflypass.Page{}, eris.Wrap(dragonflypass.ErrUnavailable, response.Status)
+	}
+	var wire Page
+	if err := json.NewDecoder(io.LimitReader(response.Body, pageBytes)).Decode(&wire); err != nil {
+		return dragonflypass.Page{}, eris.Wrap(dragonflypass.ErrUnavailable, err.Error())
+	}
+	page := wire.page()
+	if response.StatusCode == http.StatusGone {
+		return page, dragonflypass.ErrTrimmed
+	}
+	return page, nil
+}
+
+// page turns the wire form over; a record that cannot be read counts as one that says nothing.
+func (w Page) page() dragonflypass.Page {
+	page := dragonflypass.Page{First: dragonflypass.Offset(w.First), Next: dragonflypass.Offset(w.Next)}
+	for _, e := range w.Entries {
+		record, err := encoder.Decode(e.Data)
+		if err != nil {
+			record = dragonflypass.Record{}
+		}
+		page.Entries = append(page.Entries, dragonflypass.Entry{Offset: dragonflypass.Offset(e.Offset), At: e.At, Record: record})
+	}
+	return page
+}
--- /dev/null
+++ b/adapter/appender/doc.go
@@ -0,0 +1,2 @@
+// Package appender is the HTTP client of the platform's append-only log.
+package appender
--- /dev/null
+++ b/adapter/encoder/plan.go
@@ -0,0 +1,86 @@
+package encoder
+
+import (
+	"bytes"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+
+	"github.com/rotisserie/eris"
+
+	"github.com/dragonflypass/dragonflypass"
+)
+
+// Plan is the JSON form of a configuration as operators write it.
+type Plan struct {
+	Ranks    map[string]Rank `json:"ranks"`
+	Models   []Model         `json:"models"`
+	Servers  []Server        `json:"servers"`
+	Services []Service       `json:"services"`
+	Accounts []Account       `json:"accounts"`
+}
+
+// ParsePlan returns the items of a configuration file; unknown names are refused.
+func ParsePlan(data []byte) ([]dragonflypass.Versioned, error) {
+	var plan Plan
+	decoder := json.NewDecoder(bytes.NewReader(data))
+	decoder.DisallowUnknownFields()
+	if err := decoder.Decode(&plan); err != nil {
+		return nil, formatError("%s", position(data, decoder.InputOffset(), err))
+	}
+	if _, err := decoder.Token(); err != io.EOF {
+		return nil, formatError("the file goes on after the configuration")
+	}
+	return plan.items()
+}
+
+// position names the line at which reading stopped.
+func position(data []byte, offset int64, err error) string {
+	if syntax, ok := asSyntax(err); ok {
+		offset = syntax.Offset
+	}
+	line := bytes.Count(data[:min(int64(len(data)), offset)], []byte("\n")) + 1
+	return fmt.Sprintf("line %d: %v", line, err)
+}
+
+func asSyntax(err error) (*json.SyntaxError, bool) {
+	var syntax *json.SyntaxError
+	ok := eris.As(err, &syntax)
+	return syntax, ok
+}
+
+func (p Plan) items() ([]dragonflypass.Versioned, error) {
+	var items []dragonflypass.Versioned
+	add := func(section dragonflypass.Section, name string, w Item) error {
+		item, err := w.Item()
+		if err != nil {
+			return eris.Wrapf(err, "%s/%s", section, name)
+		}
+		key := dragonflypass.ItemKey{Section: section, Name: name}
+		items = append(items, dragonflypass.Versioned{Key: key, Item: item})
+		return nil
+	}
+	var failed []error
+	try := func(err error) {
+		if err != nil {
+			failed = append(failed, err)
+		}
+	}
+	for name, rank := range p.Ranks {
+		try(add(dragonflypass.SectionRank, name, Item{Rank: &rank}))
+	}
+	for _, m := range p.Models {
+		try(add(dragonflypass.SectionModel, m.ID, Item{Model: &m}))
+	}
+	for _, s := range p.Servers {
+		try(add(dragonflypass.SectionServer, s.ID, Item{Server: &s}))
+	}
+	for _, s := range p.Services {
+		try(add(dragonflypass.SectionService, s.ID, Item{Service: &s}))
+	}
+	for _, a := range p.Accounts {
+		try(add(dragonflypass.SectionAccount, a.ID, Item{Account: &a}))
+	}
+	return items, errors.Join(failed...)
+}
--- /dev/null
+++ b/adapter/encoder/record.go
@@ -0,0 +1,307 @@
+package encoder
+
+import (
+	"encoding/json"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"github.com/dragonflypass/dragonflypass"
+)
+
+// ErrFormat means that data does not have the form it should have.
+var ErrFormat = eris.New("encoder: wrong format")
+
+func formatError(format string, args ...any) error {
+	return eris.Wrapf(ErrFormat, format, args...)
+}
+
+// record is the JSON form of a log record; exactly one field is set.
+type record struct {
+	Change   *Change   `json:"change,omitempty"`
+	Snapshot *Snapshot `json:"snapshot,omitempty"`
+	Claim    *claim    `json:"claim,omitempty"`
+	End      *end      `json:"end,omitempty"`
+	Copy     *copied   `json:"copy,omitempty"`
+}
+
+// Key is the JSON form of an item's key.
+type Key struct {
+	Section string `json:"section"`
+	Name    string `json:"name"`
+}
+
+// Change is the JSON form of a configuration change.
+type Change struct {
+	ID     string    `json:"id"`
+	Author string    `json:"author"`
+	At     time.Time `json:"at"`
+	Edits  []Edit    `json:"edits"`
+}
+
+// Edit is the JSON form of one edit.
+type Edit struct {
+	Key  Key    `json:"key"`
+	Base uint64 `json:"base"`
+	Item *Item  `json:"item,omitempty"`
+}
+
+// Versioned is the JSON form of an item with its version.
+type Versioned struct {
+	Key     Key    `json:"key"`
+	Version uint64 `json:"version"`
+	Item    Item   `json:"item"`
+}
+
+// Verdict is the JSON form of a verdict on a change.
+type Verdict struct {
+	ID       string    `json:"id"`
+	Author   string    `json:"author"`
+	Offset   uint64    `json:"offset"`
+	At       time.Time `json:"at"`
+	Accepted bool      `json:"accepted"`
+	Conflict *Key      `json:"conflict,omitempty"`
+	Winner   uint64    `json:"winner,omitempty"`
+}
+
+// Snapshot is the JSON form of a whole configuration.
+type Snapshot struct {
+	Upto   uint64      `json:"upto"`
+	Items  []Versioned `json:"items"`
+	Recent []Verdict   `json:"recent,omitempty"`
+}
+
+type claimKey struct {
+	Account string `json:"account"`
+	Service string `json:"service"`
+	Key     Sum    `json:"key"`
+}
+
+type claim struct {
+	Key         claimKey  `json:"key"`
+	Nonce       Token     `json:"nonce"`
+	Body        Sum       `json:"body"`
+	VM          string    `json:"vm"`
+	Incarnation uint64    `json:"incarnation"`
+	At          time.Time `json:"at"`
+	Deadline    time.Time `json:"deadline"`
+}
+
+type end struct {
+	Key     claimKey `json:"key"`
+	Nonce   Token    `json:"nonce"`
+	Void    bool     `json:"void,omitempty"`
+	Unknown bool     `json:"unknown,omitempty"`
+	Settled bool     `json:"settled,omitempty"`
+	Status  int      `json:"status,omitempty"`
+	Type    string   `json:"type,omitempty"`
+	Body    []byte   `json:"body,omitempty"`
+}
+
+type copied struct {
+	Claim claim `json:"claim"`
+	End   *end  `json:"end,omitempty"`
+}
+
+// Encode returns the JSON form of a log record.
+func Encode(r dragonflypass.Record) ([]byte, error) {
+	var w record
+	switch {
+	case r.Change != nil:
+		change := FromChange(*r.Change)
+		w.Change = &change
+	case r.Snapshot != nil:
+		snapshot := FromSnapshot(*r.Snapshot)
+		w.Snapshot = &snapshot
+	case r.Claim != nil:
+		c := fromClaim(*r.Claim)
+		w.Claim = &c
+	case r.End != nil:
+		w.End = fromEnd(r.End)
+	case r.Copy != nil:
+		w.Copy = &copied{Claim: fromClaim(r.Copy.Claim), End: fromEnd(r.Copy.End)}
+	}
+	data, err := json.Marshal(w)
+	if err != nil {
+		return nil, eris.Wrap(ErrFormat, err.Error())
+	}
+	return data, nil
+}
+
+// Decode returns the log record of which data is the JSON form.
+// It returns ErrFormat for data that is not JSON; a record of an unknown kind is empty.
+func Decode(data []byte) (dragonflypass.Record, error) {
+	var w record
+	if err := decode(data, &w); err != nil {
+		return dragonflypass.Record{}, err
+	}
+	var r dragonflypass.Record
+	switch {
+	case w.Change != nil:
+		change, err := w.Change.Change()
+		if err != nil {
+			return r, err
+		}
+		r.Change = &change
+	case w.Snapshot != nil:
+		snapshot, err := w.Snapshot.snapshot()
+		if err != nil {
+			return r, err
+		}
+		r.Snapshot = &snapshot
+	case w.Claim != nil:
+		c := w.Claim.claim()
+		r.Claim = &c
+	case w.End != nil:
+		r.End = w.End.end()
+	case w.Copy != nil:
+		r.Copy = &dragonflypass.ClaimCopy{Claim: w.Copy.Claim.claim(), End: w.Copy.End.end()}
+	}
+	return r, nil
+}
+
+func fromKey(key dragonflypass.ItemKey) Key {
+	return Key{Section: string(key.Section), Name: key.Name}
+}
+
+// Key returns the item key of which k is the JSON form.
+func (k Key) Key() dragonflypass.ItemKey {
+	return dragonflypass.ItemKey{Section: dragonflypass.Section(k.Section), Name: k.Name}
+}
+
+// FromChange returns the JSON form of a change.
+func FromChange(c dragonflypass.Change) Change {
+	w := Change{ID: c.ID, Author: c.Author, At: c.At, Edits: make([]Edit, 0, len(c.Edits))}
+	for _, e := range c.Edits {
+		edit := Edit{Key: fromKey(e.Key), Base: uint64(e.Base)}
+		if e.Item != nil {
+			item := FromItem(*e.Item)
+			edit.Item = &item
+		}
+		w.Edits = append(w.Edits, edit)
+	}
+	return w
+}
+
+// Change returns the change of which c is the JSON form.
+func (c Change) Change() (dragonflypass.Change, error) {
+	change := dragonflypass.Change{ID: c.ID, Author: c.Author, At: c.At}
+	for _, e := range c.Edits {
+		edit := dragonflypass.Edit{Key: e.Key.Key(), Base: dragonflypass.Offset(e.Base)}
+		if e.Item != nil {
+			item, err := e.Item.Item()
+			if err != nil {
+				return change, err
+			}
+			edit.Item = &item
+		}
+		change.Edits = append(change.Edits, edit)
+	}
+	return change, nil
+}
+
+// FromVersioned returns the JSON form of versioned items.
+func FromVersioned(items []dragonflypass.Versioned) []Versioned {
+	result := make([]Versioned, 0, len(items))
+	for _, v := range items {
+		result = append(result, Versioned{Key: fromKey(v.Key), Version: uint64(v.Version), Item: FromItem(v.Item)})
+	}
+	return result
+}
+
+// ToVersioned returns the versioned items of which ws are the JSON forms.
+func ToVersioned(ws []Versioned) ([]dragonflypass.Versioned, error) {
+	result := make([]dragonflypass.Versioned, 0, len(ws))
+	for _, w := range ws {
+		item, err := w.Item.Item()
+		if err != nil {
+			return nil, err
+		}
+		result = append(result, dragonflypass.Versioned{Key: w.Key.Key(), Version: dragonflypass.Offset(w.Version), Item: item})
+	}
+	return result, nil
+}
+
+// FromVerdict returns the JSON form of a verdict.
+func FromVerdict(v dragonflypass.Verdict) Verdict {
+	w := Verdict{ID: v.ID, Author: v.Author, Offset: uint64(v.Offset), At: v.At, Accepted: v.Accepted, Winner: uint64(v.Winner)}
+	if !v.Accepted {
+		key := fromKey(v.Conflict)
+		w.Conflict = &key
+	}
+	return w
+}
+
+// Verdict returns the verdict of which w is the JSON form.
+func (w Verdict) Verdict() dragonflypass.Verdict {
+	v := dragonflypass.Verdict{
+		ID: w.ID, Author: w.Author, Offset: dragonflypass.Offset(w.Offset), At: w.At,
+		Accepted: w.Accepted, Winner: dragonflypass.Offset(w.Winner),
+	}
+	if w.Conflict != nil {
+		v.Conflict = w.Conflict.Key()
+	}
+	return v
+}
+
+// FromSnapshot returns the JSON form of a snapshot.
+func FromSnapshot(s dragonflypass.Snapshot) Snapshot {
+	w := Snapshot{Upto: uint64(s.Upto), Items: FromVersioned(s.Items)}
+	for _, v := range s.Recent {
+		w.Recent = append(w.Recent, FromVerdict(v))
+	}
+	return w
+}
+
+func (w Snapshot) snapshot() (dragonflypass.Snapshot, error) {
+	items, err := ToVersioned(w.Items)
+	s := dragonflypass.Snapshot{Upto: dragonflypass.Offset(w.Upto), Items: items}
+	for _, v := range w.Recent {
+		s.Recent = append(s.Recent, v.Verdict())
+	}
+	return s, err
+}
+
+func fromClaimKey(key dragonflypass.ClaimKey) claimKey {
+	return claimKey{Account: string(key.Account), Service: string(key.Service), Key: Sum(key.Key)}
+}
+
+func (w claimKey) key() dragonflypass.ClaimKey {
+	return dragonflypass.ClaimKey{
+		Account: dragonflypass.AccountID(w.Account), Service: dragonflypass.ServiceID(w.Service), Key: dragonflypass.Digest(w.Key),
+	}
+}
+
+func fromClaim(c dragonflypass.Claim) claim {
+	return claim{
+		Key: fromClaimKey(c.Key), Nonce: Token(c.Nonce), Body: Sum(c.Body),
+		VM: string(c.VM), Incarnation: c.Incarnation, At: c.At, Deadline: c.Deadline,
+	}
+}
+
+func (w claim) claim() dragonflypass.Claim {
+	return dragonflypass.Claim{
+		Key: w.Key.key(), Nonce: dragonflypass.Nonce(w.Nonce), Body: dragonflypass.Digest(w.Body),
+		VM: dragonflypass.VMID(w.VM), Incarnation: w.Incarnation, At: w.At, Deadline: w.Deadline,
+	}
+}
+
+func fromEnd(e *dragonflypass.ClaimEnd) *end {
+	if e == nil {
+		return nil
+	}
+	return &end{
+		Key: fromClaimKey(e.Key), Nonce: Token(e.Nonce), Void: e.Void, Unknown: e.Unknown, Settled: e.Settled,
+		Status: e.Answer.Status, Type: e.Answer.ContentType, Body: e.Answer.Body,
+	}
+}
+
+func (w *end) end() *dragonflypass.ClaimEnd {
+	if w == nil {
+		return nil
+	}
+	return &dragonflypass.ClaimEnd{
+		Key: w.Key.key(), Nonce: dragonflypass.Nonce(w.Nonce), Void: w.Void, Unknown: w.Unknown, Settled: w.Settled,
+		Answer: dragonflypass.Answer{Status: w.Status, ContentType: w.Type, Body: w.Body},
+	}
+}
--- /dev/null
+++ b/adapter/invoker/doc.go
@@ -0,0 +1,2 @@
+// Package invoker is the HTTP client of plain services.
+package invoker
--- /dev/null
+++ b/adapter/invoker/invoker.go
@@ -0,0 +1,91 @@
+package invoker
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"github.com/dragonflypass/dragonflypass"
+)
+
+const (
+	// dialTimeout bounds the making of a connection to an endpoint.
+	dialTimeout = 2 * time.Second
+	// answerLimit is the largest answer in bytes.
+	answerLimit = 16 << 20
+	// ranHeader is the header by which a service says that it did not run a call it refused.
+	ranHeader = "X-Ran"
+)
+
+// Invoker calls plain services over HTTP.
+type Invoker struct {
+	client *http.Client
+}
+
+var _ dragonflypass.Caller = (*Invoker)(nil)
+
+// New returns a client of plain services.
+func New() *Invoker {
+	dialer := &net.Dialer{Timeout: dialTimeout}
+	return &Invoker{client: &http.Client{
+		// A connection used once cannot break because it was idle, so a call that broke was sent.
+		Transport: &http.Transport{DialContext: dialer.DialContext, DisableKeepAlives: true},
+		CheckRedirect: func(*http.Request, []*http.Request) error {
+			return http.ErrUseLastResponse
+		},
+	}}
+}
+
+// Call sends the invocation to the endpoint at most once.
+func (i *Invoker) Call(ctx context.Context, endpoint dragonflypass.Endpoint, call dragonflypass.Invocation) (dragonflypass.Answer, error) {
+	target := "http://" + endpoint.Address.String() + call.Path
+	request, err := http.NewRequestWithContext(ctx, call.Method, target, bytes.NewReader(call.Body))
+	if err != nil {
+		return dragonflypass.Answer{}, eris.Wrap(dragonflypass.ErrRefused, err.Error())
+	}
+	// The transport repeats a request with an idempotency key by itself if it can rewind the body.
+	request.GetBody = nil
+	if call.ContentType != "" {
+		request.Header.Set("Content-Type", call.ContentType)
+	}
+	if call.Key != "" {
+		request.Header.Set("Idempotency-Key", call.Key)
+	}
+	request.Header.Set("X-Request-Id", call.ID)
+	request.Header.Set("X-Client-Account", string(call.Account))
+	response, err := i.client.Do(request)
+	if err != nil {
+		return dragonflypass.Answer{}, sendError(err)
+	}
+	defer func() { _ = response.Body.Close() }()
+	return readAnswer(response)
+}
+
+// sendError tells a connection that was never made from a call that may have run.
+func sendError(err error) error {
+	var op *net.OpError
+	if errors.As(err, &op) && op.Op == "dial" {
+		return eris.Wrap(dragonflypass.ErrUnavailable, err.Error())
+	}
+	return eris.Wrap(dragonflypass.ErrUncertain, err.Error())
+}
+
+func readAnswer(response *http.Response) (dragonflypass.Answer, error) {
+	if response.StatusCode == http.StatusServiceUnavailable && response.Header.Get(ranHeader) == string(dragonflypass.RanNot) {
+		return dragonflypass.Answer{}, eris.Wrap(dragonflypass.ErrRefused, response.Status)
+	}
+	body, err := io.ReadAll(io.LimitReader(response.Body, answerLimit+1))
+	if err != nil {
+		return dragonflypass.Answer{}, eris.Wrap(dragonflypass.ErrUncertain, err.Error())
+	}
+	if len(body) > answerLimit {
+		return dragonflypass.Answer{}, eris.Wrap(dragonflypass.ErrUncertain, "the answer is too large")
+	}
+	return dragonflypass.Answer{Status: response.StatusCode, ContentType: response.Header.Get("Content-Type"), Body: body}, nil
+}
--- /dev/null
+++ b/adapter/loader/doc.go
@@ -0,0 +1,2 @@
+// Package loader reads and checks the settings of an entry VM's process.
+package loader
--- /dev/null
+++ b/adapter/messenger/message.go
@@ -0,0 +1,314 @@
+package messenger
+
+import (
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+	"github.com/rotisserie/eris"
+
+	"github.com/dragonflypass/dragonflypass"
+	"github.com/dragonflypass/dragonflypass/adapter/encoder"
+)
+
+// The kinds of messages.
+const (
+	kindAcquire  = "acquire"
+	kindWithdraw = "withdraw"
+	kindRelease  = "release"
+	kindBeat     = "beat"
+	kindEntries  = "entries"
+	kindCrash    = "crash"
+	kindAnswer   = "answer"
+)
+
+// envelope is one message; an answer carries the ID of its question.
+type envelope struct {
+	ID   uint64          `cbor:"id"`
+	Kind string          `cbor:"kind"`
+	Body cbor.RawMessage `cbor:"body,omitempty"`
+}
+
+// answer is the body of an answer; at most one field is set.
+type answer struct {
+	Permit  *permit  `cbor:"permit,omitempty"`
+	Refusal *refusal `cbor:"refusal,omitempty"`
+	Beat    *beat    `cbor:"beat,omitempty"`
+	Page    *page    `cbor:"page,omitempty"`
+}
+
+type stream struct {
+	VM          string `cbor:"vm"`
+	Incarnation uint64 `cbor:"inc"`
+	Sequence    uint64 `cbor:"seq"`
+}
+
+type fingerprint struct {
+	Account string   `cbor:"account"`
+	Model   string   `cbor:"model"`
+	Body    [32]byte `cbor:"body"`
+}
+
+type acquire struct {
+	Stream      stream      `cbor:"stream"`
+	Account     string      `cbor:"account"`
+	Weight      float64     `cbor:"weight"`
+	Model       string      `cbor:"model"`
+	Rank        uint8       `cbor:"rank"`
+	Prompt      int         `cbor:"prompt"`
+	Output      int         `cbor:"output"`
+	Expected    int         `cbor:"expected"`
+	Fingerprint fingerprint `cbor:"print"`
+	Deadline    int64       `cbor:"deadline"`
+	Latest      int64       `cbor:"latest"`
+	Target      int64       `cbor:"target"`
+	Breaks      int         `cbor:"breaks,omitempty"`
+	Exclude     []string    `cbor:"exclude,omitempty"`
+	Only        string      `cbor:"only,omitempty"`
+}
+
+type permit struct {
+	Stream   stream `cbor:"stream"`
+	Owner    string `cbor:"owner"`
+	Server   string `cbor:"server"`
+	Address  string `cbor:"address"`
+	Priority int    `cbor:"priority"`
+}
+
+type refusal struct {
+	Reason string `cbor:"reason"`
+	Retry  int64  `cbor:"retry,omitempty"`
+	Detail string `cbor:"detail"`
+}
+
+type release struct {
+	Stream  stream `cbor:"stream"`
+	Server  string `cbor:"server"`
+	Output  int    `cbor:"output"`
+	Outcome uint8  `cbor:"outcome"`
+}
+
+type vm struct {
+	ID      string `cbor:"id"`
+	Zone    string `cbor:"zone"`
+	Peer    string `cbor:"peer"`
+	Leaving bool   `cbor:"leaving,omitempty"`
+}
+
+type beat struct {
+	From        vm     `cbor:"from"`
+	Incarnation uint64 `cbor:"inc"`
+	Config      uint64 `cbor:"config"`
+	Loads       []load `cbor:"loads,omitempty"`
+	Held        []held `cbor:"held,omitempty"`
+}
+
+type load struct {
+	Server  string  `cbor:"server"`
+	Free    int     `cbor:"free"`
+	Streams int     `cbor:"streams"`
+	Wait    []int64 `cbor:"wait"`
+	Closing int64   `cbor:"closing,omitempty"`
+}
+
+type held struct {
+	Stream      stream      `cbor:"stream"`
+	Server      string      `cbor:"server"`
+	Tokens      int         `cbor:"tokens"`
+	Fingerprint fingerprint `cbor:"print"`
+	Rank        uint8       `cbor:"rank"`
+	Account     string      `cbor:"account"`
+	Deadline    int64       `cbor:"deadline"`
+}
+
+type entries struct {
+	From uint64 `cbor:"from"`
+}
+
+type page struct {
+	First   uint64  `cbor:"first"`
+	Next    uint64  `cbor:"next"`
+	Entries []entry `cbor:"entries,omitempty"`
+}
+
+type entry struct {
+	Offset uint64 `cbor:"offset"`
+	At     int64  `cbor:"at"`
+	Data   []byte `cbor:"data"`
+}
+
+type crash struct {
+	Server string        `cbor:"server"`
+	Epoch  uint64        `cbor:"epoch"`
+	Prints []fingerprint `cbor:"prints"`
+	At     int64         `cbor:"at"`
+}
+
+// toNano returns the instant in nanoseconds since 1970, zero for none.
+func toNano(t time.Time) int64 {
+	if t.IsZero() {
+		return 0
+	}
+	return t.UnixNano()
+}
+
+func fromNano(nano int64) time.Time {
+	if nano == 0 {
+		return time.Time{}
+	}
+	return time.Unix(0, nano)
+}
+
+func toStream(id dragonflypass.StreamID) stream {
+	return stream{VM: string(id.VM), Incarnation: id.Incarnation, Sequence: id.Sequence}
+}
+
+func (s stream) id() dragonflypass.StreamID {
+	return dragonflypass.StreamID{VM: dragonflypass.VMID(s.VM), Incarnation: s.Incarnation, Sequence: s.Sequence}
+}
+
+func toFingerprint(f dragonflypass.Fingerprint) fingerprint {
+	return fingerprint{Account: string(f.Account), Model: string(f.Model), Body: f.Body}
+}
+
+func (f fingerprint) fingerprint() dragonflypass.Fingerprint {
+	return dragonflypass.Fingerprint{Account: dragonflypass.AccountID(f.Account), Model: dragonflypass.ModelID(f.Model), Body: f.Body}
+}
+
+func toAcquire(r dragonflypass.PermitRequest) acquire {
+	w := acquire{
+		Stream: toStream(r.Stream), Account: string(r.Account), Weight: r.Weight, Model: string(r.Model), Rank: uint8(r.Rank),
+		Prompt: r.PromptTokens, Output: r.OutputTokens, Expected: r.ExpectedTokens, Fingerprint: toFingerprint(r.Fingerprint),
+		Deadline: toNano(r.Deadline), Latest: toNano(r.LatestStart), Target: toNano(r.Target), Breaks: r.Breaks, Only: string(r.Only),
+	}
+	for _, server := range r.Exclude {
+		w.Exclude = append(w.Exclude, string(server))
+	}
+	return w
+}
+
+func (w acquire) request() dragonflypass.PermitRequest {
+	r := dragonflypass.PermitRequest{
+		Stream: w.Stream.id(), Account: dragonflypass.AccountID(w.Account), Weight: w.Weight, Model: dragonflypass.ModelID(w.Model),
+		Rank:         min(dragonflypass.Rank(w.Rank), dragonflypass.RankBulk),
+		PromptTokens: w.Prompt, OutputTokens: w.Output, ExpectedTokens: w.Expected, Fingerprint: w.Fingerprint.fingerprint(),
+		Deadline: fromNano(w.Deadline), LatestStart: fromNano(w.Latest), Target: fromNano(w.Target),
+		Breaks: w.Breaks, Only: dragonflypass.ServerID(w.Only),
+	}
+	for _, server := range w.Exclude {
+		r.Exclude = append(r.Exclude, dragonflypass.ServerID(server))
+	}
+	return r
+}
+
+func toPermit(p dragonflypass.Permit) *permit {
+	return &permit{Stream: toStream(p.Stream), Owner: string(p.Owner), Server: string(p.Server), Address: p.Address.String(), Priority: p.Priority}
+}
+
+func (w *permit) permit() (dragonflypass.Permit, error) {
+	address, err := parseAddress(w.Address)
+	return dragonflypass.Permit{
+		Stream: w.Stream.id(), Owner: dragonflypass.VMID(w.Owner), Server: dragonflypass.ServerID(w.Server),
+		Address: address, Priority: w.Priority,
+	}, err
+}
+
+func toRefusal(r *dragonflypass.Refusal) *refusal {
+	return &refusal{Reason: string(r.Reason), Retry: int64(r.Retry), Detail: r.Detail}
+}
+
+func (w *refusal) refusal() *dragonflypass.Refusal {
+	return dragonflypass.Refuse(dragonflypass.Reason(w.Reason), time.Duration(w.Retry), "%s", w.Detail)
+}
+
+func toRelease(r dragonflypass.PermitRelease) release {
+	return release{Stream: toStream(r.Stream), Server: string(r.Server), Output: r.OutputTokens, Outcome: uint8(r.Outcome)}
+}
+
+func (w release) release() dragonflypass.PermitRelease {
+	return dragonflypass.PermitRelease{
+		Stream: w.Stream.id(), Server: dragonflypass.ServerID(w.Server), OutputTokens: w.Output, Outcome: dragonflypass.StreamOutcome(w.Outcome),
+	}
+}
+
+func toBeat(b dragonflypass.Heartbeat) beat {
+	w := beat{
+		From:        vm{ID: string(b.From.ID), Zone: string(b.From.Zone), Peer: b.From.Peer.String(), Leaving: b.From.Leaving},
+		Incarnation: b.Incarnation, Config: uint64(b.Config),
+	}
+	for _, l := range b.Loads {
+		wire := load{Server: string(l.Server), Free: l.Free, Streams: l.Streams, Closing: toNano(l.Closing), Wait: make([]int64, len(l.Wait))}
+		for i, wait := range l.Wait {
+			wire.Wait[i] = int64(wait)
+		}
+		w.Loads = append(w.Loads, wire)
+	}
+	for _, h := range b.Held {
+		w.Held = append(w.Held, held{
+			Stream: toStream(h.Stream), Server: string(h.Server), Tokens: h.Tokens, Fingerprint: toFingerprint(h.Fingerprint),
+			Rank: uint8(h.Rank), Account: string(h.Account), Deadline: toNano(h.Deadline),
+		})
+	}
+	return w
+}
+
+func (w beat) beat() (dragonflypass.Heartbeat, error) {
+	peer, err := parseAddress(w.From.Peer)
+	b := dragonflypass.Heartbeat{
+		From:        dragonflypass.VM{ID: dragonflypass.VMID(w.From.ID), Zone: dragonflypass.AvailabilityZone(w.From.Zone), Peer: peer, Leaving: w.From.Leaving},
+		Incarnation: w.Incarnation, Config: dragonflypass.Offset(w.Config),
+	}
+	for _, l := range w.Loads {
+		full := dragonflypass.ServerLoad{Server: dragonflypass.ServerID(l.Server), Free: l.Free, Streams: l.Streams, Closing: fromNano(l.Closing)}
+		for i := range min(len(l.Wait), len(full.Wait)) {
+			full.Wait[i] = time.Duration(l.Wait[i])
+		}
+		b.Loads = append(b.Loads, full)
+	}
+	for _, h := range w.Held {
+		b.Held = append(b.Held, dragonflypass.HeldStream{
+			Stream: h.Stream.id(), Server: dragonflypass.ServerID(h.Server), Tokens: h.Tokens, Fingerprint: h.Fingerprint.fingerprint(),
+			Rank: dragonflypass.Rank(h.Rank), Account: dragonflypass.AccountID(h.Account), Deadline: fromNano(h.Deadline),
+		})
+	}
+	return b, err
+}
+
+func toPage(p dragonflypass.Page) (*page, error) {
+	w := &page{First: uint64(p.First), Next: uint64(p.Next)}
+	for _, e := range p.Entries {
+		data, err := encoder.Encode(e.Record)
+		if err != nil {
+			return nil, err
+		}
+		w.Entries = append(w.Entries, entry{Offset: uint64(e.Offset), At: toNano(e.At), Data: data})
+	}
+	return w, nil
+}
+
+func (w *page) page() (dragonflypass.Page, error) {
+	p := dragonflypass.Page{First: dragonflypass.Offset(w.First), Next: dragonflypass.Offset(w.Next)}
+	for _, e := range w.Entries {
+		record, err := encoder.Decode(e.Data)
+		if err != nil {
+			return p, eris.Wrap(dragonflypass.ErrBroken, err.Error())
+		}
+		p.Entries = append(p.Entries, dragonflypass.Entry{Offset: dragonflypass.Offset(e.Offset), At: fromNano(e.At), Record: record})
+	}
+	return p, nil
+}
+
+func toCrash(c dragonflypass.Crash) crash {
+	w := crash{Server: string(c.Server), Epoch: c.Epoch, At: toNano(c.At)}
+	for _, f := range c.Fingerprints {
+		w.Prints = append(w.Prints, toFingerprint(f))
+	}
+	return w
+}
+
+func (w crash) crash() dragonflypass.Crash {
+	c := dragonflypass.Crash{Server: dragonflypass.ServerID(w.Server), Epoch: w.Epoch, At: fromNano(w.At)}
+	for _, f := range w.Prints {
+		c.Fingerprints = append(c.Fingerprints, f.fingerprint())
+	}
+	return c
+}
--- /dev/null
+++ b/adapter/parser/doc.go
@@ -0,0 +1,2 @@
+// Package parser reads the day's sheet from the CSV file that planners export.
+package parser
--- /dev/null
+++ b/adapter/responder/doc.go
@@ -0,0 +1,2 @@
+// Package responder is the HTTP front end for callers.
+package responder
--- /dev/null
+++ b/adapter/streamer/doc.go
@@ -0,0 +1,2 @@
+// Package streamer is the HTTP client of the model engines.
+package streamer
--- /dev/null
+++ b/adapter/streamer/format.go
@@ -0,0 +1,108 @@
+package streamer
+
+import (
+	"fmt"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"github.com/dragonflypass/dragonflypass"
+)
+
+// Call is the JSON body of a completion request to an engine.
+type Call struct {
+	Model     string `json:"model"`
+	Prompt    string `json:"prompt"`
+	Output    int    `json:"max_tokens"`
+	Streaming bool   `json:"stream"`
+	Priority  int    `json:"priority"`
+	Stream    string `json:"id"`
+	Attempt   int    `json:"attempt"`
+	Delivered string `json:"delivered,omitempty"`
+	From      int    `json:"from,omitempty"`
+}
+
+// Frame is the JSON form of one event of an engine's stream.
+type Frame struct {
+	Stream  string `json:"id"`
+	Attempt int    `json:"attempt"`
+	Index   int    `json:"index"`
+	Text    string `json:"text,omitempty"`
+	Tokens  int    `json:"tokens,omitempty"`
+	End     bool   `json:"end,omitempty"`
+	Count   int    `json:"count,omitempty"`
+	Prompt  int    `json:"prompt,omitempty"`
+	Finish  string `json:"finish,omitempty"`
+}
+
+// Report is the JSON form of an engine's report.
+type Report struct {
+	Server  string         `json:"server"`
+	Epoch   uint64         `json:"epoch"`
+	Used    int            `json:"used"`
+	Streams []StreamReport `json:"streams"`
+	At      time.Time      `json:"at"`
+}
+
+// StreamReport is the JSON form of one stream in a report.
+type StreamReport struct {
+	Stream    string `json:"id"`
+	Tokens    int    `json:"tokens"`
+	Prefilled bool   `json:"prefilled"`
+}
+
+// FormatStream writes a stream identifier as VM, incarnation and sequence.
+func FormatStream(id dragonflypass.StreamID) string {
+	return fmt.Sprintf("%s.%d.%d", id.VM, id.Incarnation, id.Sequence)
+}
+
+// ParseStream reads what FormatStream wrote.
+func ParseStream(text string) (dragonflypass.StreamID, error) {
+	rest, last, ok := cutLast(text)
+	vm, middle, found := cutLast(rest)
+	sequence, err := strconv.ParseUint(last, 10, 64)
+	incarnation, errIncarnation := strconv.ParseUint(middle, 10, 64)
+	if !ok || !found || err != nil || errIncarnation != nil {
+		return dragonflypass.StreamID{}, eris.Errorf("streamer: %q is not a stream identifier", text)
+	}
+	return dragonflypass.StreamID{VM: dragonflypass.VMID(vm), Incarnation: incarnation, Sequence: sequence}, nil
+}
+
+func cutLast(text string) (before, after string, ok bool) {
+	at := strings.LastIndexByte(text, '.')
+	if at < 0 {
+		return text, "", false
+	}
+	return text[:at], text[at+1:], true
+}
+
+func (f Frame) frame() (dragonflypass.Frame, error) {
+	id, err := ParseStream(f.Stream)
+	return dragonflypass.Frame{
+		Stream: id, Attempt: f.Attempt, Index: f.Index, Text: f.Text, Tokens: f.Tokens,
+		End: f.End, Count: f.Count, PromptTokens: f.Prompt, Finish: dragonflypass.FinishReason(f.Finish),
+	}, err
+}
+
+// FromReport returns the JSON form of a report.
+func FromReport(r dragonflypass.ServerReport) Report {
+	w := Report{Server: string(r.Server), Epoch: r.Epoch, Used: r.Used, At: r.At, Streams: make([]StreamReport, 0, len(r.Streams))}
+	for _, s := range r.Streams {
+		w.Streams = append(w.Streams, StreamReport{Stream: FormatStream(s.Stream), Tokens: s.Tokens, Prefilled: s.Prefilled})
+	}
+	return w
+}
+
+func (w Report) report() (dragonflypass.ServerReport, error) {
+	r := dragonflypass.ServerReport{Server: dragonflypass.ServerID(w.Server), Epoch: w.Epoch, Used: w.Used, At: w.At}
+	for _, s := range w.Streams {
+		id, err := ParseStream(s.Stream)
+		if err != nil {
+			return r, err
+		}
+		r.Streams = append(r.Streams, dragonflypass.StreamReport{Stream: id, Tokens: s.Tokens, Prefilled: s.Prefilled})
+	}
+	return r, nil
+}
--- /dev/null
+++ b/adapter/streamer/streamer.go
@@ -0,0 +1,184 @@
+package streamer
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/netip"
+	"net/url"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"github.com/dragonflypass/dragonflypass"
+)
+
+const (
+	// dialTimeout bounds the making of a connection to a server.
+	dialTimeout = 2 * time.Second
+	// idleConnections is the number of unused connections kept to each server.
+	idleConnections = 64
+	// lineLimit is the longest line of a stream in bytes.
+	lineLimit = 1 << 20
+)
+
+// Streamer calls model engines over HTTP.
+type Streamer struct {
+	client *http.Client
+}
+
+var _ dragonflypass.Engine = (*Streamer)(nil)
+
+// New returns a client of the engines.
+func New() *Streamer {
+	dialer := &net.Dialer{Timeout: dialTimeout}
+	return &Streamer{client: &http.Client{Transport: &http.Transport{
+		DialContext:         dialer.DialContext,
+		MaxIdleConnsPerHost: idleConnections,
+		IdleConnTimeout:     time.Minute,
+		DisableCompression:  true,
+	}}}
+}
+
+// Close drops the unused connections.
+func (s *Streamer) Close() { s.client.CloseIdleConnections() }
+
+// Stream runs a request under the permit and passes each frame to accept.
+func (s *Streamer) Stream(ctx context.Context, call dragonflypass.EngineCall, accept func(dragonflypass.Frame) error) error {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	request, err := newRequest(ctx, call)
+	if err != nil {
+		return err
+	}
+	response, err := s.client.Do(request)
+	if err != nil {
+		return sendError(ctx, err)
+	}
+	defer func() { _ = response.Body.Close() }()
+	switch response.StatusCode {
+	case http.StatusOK:
+		return read(ctx, response.Body, call, accept)
+	case http.StatusServiceUnavailable, http.StatusTooManyRequests, http.StatusBadRequest:
+		return eris.Wrapf(dragonflypass.ErrRefused, "server %s: %s", call.Permit.Server, response.Status)
+	case http.StatusNotFound:
+		return eris.Wrapf(dragonflypass.ErrUnknown, "server %s: stream not there", call.Permit.Server)
+	}
+	return eris.Wrapf(dragonflypass.ErrBroken, "server %s: %s", call.Permit.Server, response.Status)
+}
+
+func newRequest(ctx context.Context, call dragonflypass.EngineCall) (*http.Request, error) {
+	if call.Reconnect {
+		return http.NewRequestWithContext(ctx, http.MethodGet, reconnectURL(call), nil)
+	}
+	body, err := json.Marshal(Call{
+		Model: string(call.Model), Prompt: call.Prompt, Output: call.OutputTokens, Streaming: true,
+		Priority: call.Permit.Priority, Stream: FormatStream(call.Permit.Stream), Attempt: call.Attempt,
+		Delivered: call.Delivered, From: call.From,
+	})
+	if err != nil {
+		return nil, eris.Wrap(dragonflypass.ErrRefused, err.Error())
+	}
+	request, err := http.NewRequestWithContext(ctx, http.MethodPost, base(call.Permit.Address)+"/v1/completions", bytes.NewReader(body))
+	if err != nil {
+		return nil, eris.Wrap(dragonflypass.ErrRefused, err.Error())
+	}
+	// Without GetBody the transport never sends the request a second time by itself.
+	request.GetBody = nil
+	request.Header.Set("Content-Type", "application/json")
+	return request, nil
+}
+
+func reconnectURL(call dragonflypass.EngineCall) string {
+	return fmt.Sprintf("%s/v1/streams/%s?from=%d&attempt=%d", base(call.Permit.Address),
+		url.PathEscape(FormatStream(call.Permit.Stream)), call.From, call.Attempt)
+}
+
+func base(address netip.AddrPort) string { return "http://" + address.String() }
+
+// sendError tells a connection that was never made from one that broke.
+func sendError(ctx context.Context, err error) error {
+	var op *net.OpError
+	if errors.As(err, &op) && op.Op == "dial" {
+		return eris.Wrap(dragonflypass.ErrUnavailable, err.Error())
+	}
+	if ctx.Err() != nil {
+		return context.Cause(ctx)
+	}
+	return eris.Wrap(dragonflypass.ErrBroken, err.Error())
+}
+
+// read passes the stream's events on until the last frame of the call's own attempt.
+func read(ctx context.Context, body io.Reader, call dragonflypass.EngineCall, accept func(dragonflypass.Frame) error) error {
+	lines := bufio.NewScanner(body)
+	lines.Buffer(make([]byte, 0, 4096), lineLimit)
+	for lines.Scan() {
+		data, isData := bytes.CutPrefix(lines.Bytes(), []byte("data: "))
+		if !isData {
+			continue
+		}
+		var wire Frame
+		if err := json.Unmarshal(data, &wire); err != nil {
+			return eris.Wrap(dragonflypass.ErrBroken, err.Error())
+		}
+		frame, err := wire.frame()
+		if err != nil {
+			return eris.Wrap(dragonflypass.ErrBroken, err.Error())
+		}
+		if err := accept(frame); err != nil {
+			return err
+		}
+		if frame.End && frame.Stream == call.Permit.Stream && frame.Attempt == call.Attempt {
+			return nil
+		}
+	}
+	if ctx.Err() != nil {
+		return context.Cause(ctx)
+	}
+	return eris.Wrap(dragonflypass.ErrBroken, "the stream ended before its last frame")
+}
+
+// Cancel ends a stream and returns its memory.
+func (s *Streamer) Cancel(ctx context.Context, server netip.AddrPort, stream dragonflypass.StreamID) error {
+	target := base(server) + "/v1/streams/" + url.PathEscape(FormatStream(stream))
+	request, err := http.NewRequestWithContext(ctx, http.MethodDelete, target, nil)
+	if err != nil {
+		return eris.Wrap(dragonflypass.ErrRefused, err.Error())
+	}
+	response, err := s.client.Do(request)
+	if err != nil {
+		return sendError(ctx, err)
+	}
+	defer func() { _ = response.Body.Close() }()
+	if response.StatusCode >= http.StatusBadRequest && response.StatusCode != http.StatusNotFound {
+		return eris.Wrap(dragonflypass.ErrUncertain, response.Status)
+	}
+	return nil
+}
+
+// Report returns the server's lagging report.
+func (s *Streamer) Report(ctx context.Context, server netip.AddrPort) (dragonflypass.ServerReport, error) {
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, base(server)+"/v1/report", nil)
+	if err != nil {
+		return dragonflypass.ServerReport{}, eris.Wrap(dragonflypass.ErrRefused, err.Error())
+	}
+	response, err := s.client.Do(request)
+	if err != nil {
+		return dragonflypass.ServerReport{}, sendError(ctx, err)
+	}
+	defer func() { _ = response.Body.Close() }()
+	if response.StatusCode != http.StatusOK {
+		return dragonflypass.ServerReport{}, eris.Wrap(dragonflypass.ErrBroken, response.Status)
+	}
+	var wire Report
+	if err := json.NewDecoder(response.Body).Decode(&wire); err != nil {
+		return dragonflypass.ServerReport{}, eris.Wrap(dragonflypass.ErrBroken, err.Error())
+	}
+	return wire.report()
+}
--- /dev/null
+++ b/standin/generator/server.go
@@ -0,0 +1,146 @@
+package generator
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/gorilla/mux"
+
+	"github.com/dragonflypass/dragonflypass"
+	"github.com/dragonflypass/dragonflypass/adapter/streamer"
+)
+
+// Handler returns the engine's HTTP interface.
+func (e *Engine) Handler() http.Handler {
+	router := mux.NewRouter()
+	router.HandleFunc("/v1/completions", e.complete).Methods(http.MethodPost)
+	router.HandleFunc("/v1/streams/{id}", e.resume).Methods(http.MethodGet)
+	router.HandleFunc("/v1/streams/{id}", e.cancel).Methods(http.MethodDelete)
+	router.HandleFunc("/v1/report", e.report).Methods(http.MethodGet)
+	router.HandleFunc("/v1/orders", e.order).Methods(http.MethodPost)
+	return router
+}
+
+func (e *Engine) complete(w http.ResponseWriter, r *http.Request) {
+	var body streamer.Call
+	if err := json.NewDecoder(r.Body).Decode(&body); err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	id, err := streamer.ParseStream(body.Stream)
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	s, err := e.Start(Call{
+		Stream: id, Model: dragonflypass.ModelID(body.Model), Prompt: body.Prompt,
+		Priority: body.Priority, From: body.From, Output: body.Output,
+	})
+	switch {
+	case errors.Is(err, ErrDown):
+		panic(http.ErrAbortHandler)
+	case err != nil:
+		http.Error(w, err.Error(), http.StatusServiceUnavailable)
+		return
+	}
+	e.write(w, r, s, body.Attempt, body.From)
+}
+
+func (e *Engine) resume(w http.ResponseWriter, r *http.Request) {
+	id, err := streamer.ParseStream(mux.Vars(r)["id"])
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	from, _ := strconv.Atoi(r.URL.Query().Get("from"))
+	attempt, _ := strconv.Atoi(r.URL.Query().Get("attempt"))
+	s, err := e.Find(id)
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusNotFound)
+		return
+	}
+	e.write(w, r, s, attempt, from)
+}
+
+// write streams the answer from the index on; a reader that goes away leaves the stream running.
+func (e *Engine) write(w http.ResponseWriter, r *http.Request, s *Stream, attempt, index int) {
+	w.Header().Set("Content-Type", "text/event-stream")
+	w.WriteHeader(http.StatusOK)
+	flush := http.NewResponseController(w)
+	_ = flush.Flush()
+	name := streamer.FormatStream(s.call.Stream)
+	for {
+		token, grown, err := e.Next(s, index)
+		if err != nil {
+			panic(http.ErrAbortHandler)
+		}
+		if grown != nil {
+			select {
+			case <-grown:
+				continue
+			case <-r.Context().Done():
+				return
+			}
+		}
+		frame := streamer.Frame{Stream: name, Attempt: attempt, Index: token.Index, Text: token.Text}
+		if token.End {
+			frame.End, frame.Count, frame.Prompt = true, token.Count, token.Prompt
+			frame.Finish = string(dragonflypass.FinishStop)
+			if token.Count == s.call.Output {
+				frame.Finish = string(dragonflypass.FinishLength)
+			}
+			e.Finish(s)
+		} else {
+			frame.Tokens = 1
+		}
+		if writeFrame(w, frame) != nil || flush.Flush() != nil || token.End {
+			return
+		}
+		index++
+	}
+}
+
+func writeFrame(w http.ResponseWriter, frame streamer.Frame) error {
+	data, err := json.Marshal(frame)
+	if err != nil {
+		return err
+	}
+	_, err = fmt.Fprintf(w, "data: %s\n\n", data)
+	return err
+}
+
+func (e *Engine) cancel(w http.ResponseWriter, r *http.Request) {
+	id, err := streamer.ParseStream(mux.Vars(r)["id"])
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	e.Cancel(id)
+	w.WriteHeader(http.StatusNoContent)
+}
+
+func (e *Engine) report(w http.ResponseWriter, _ *http.Request) {
+	report, err := e.Report(time.Now())
+	if err != nil {
+		panic(http.ErrAbortHandler)
+	}
+	w.Header().Set("Content-Type", "application/json")
+	_ = json.NewEncoder(w).Encode(streamer.FromReport(report))
+}
+
+func (e *Engine) order(w http.ResponseWriter, r *http.Request) {
+	var order Order
+	if err := json.NewDecoder(r.Body).Decode(&order); err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	if !e.Obey(order) {
+		http.Error(w, "old fencing number", http.StatusConflict)
+		return
+	}
+	w.WriteHeader(http.StatusNoContent)
+}
