--- /dev/null
+++ b/cmd/dragonflyctl/config.go
@@ -0,0 +1,213 @@
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"net/http"
+	"os"
+	"reflect"
+	"time"
+
+	"github.com/google/uuid"
+	"github.com/spf13/cobra"
+
+	"github.com/dragonflypass/dragonflypass"
+	"github.com/dragonflypass/dragonflypass/adapter/administrator"
+	"github.com/dragonflypass/dragonflypass/adapter/encoder"
+)
+
+func newConfigCommand(c *client) *cobra.Command {
+	command := &cobra.Command{Use: "config", Short: "Show and change the configuration"}
+	command.AddCommand(newConfigShowCommand(c), newConfigApplyCommand(c), newConfigHistoryCommand(c))
+	return command
+}
+
+func newConfigShowCommand(c *client) *cobra.Command {
+	return &cobra.Command{
+		Use:     "show",
+		Short:   "Print the configuration in force, with the version of each item",
+		Example: "  dragonflyctl config show --admin 127.0.0.1:8082",
+		Args:    cobra.NoArgs,
+		RunE: func(command *cobra.Command, _ []string) error {
+			var config administrator.Config
+			if err := c.get(command.Context(), "/config", &config); err != nil {
+				return err
+			}
+			return printJSON(command, config)
+		},
+	}
+}
+
+func newConfigHistoryCommand(c *client) *cobra.Command {
+	return &cobra.Command{
+		Use:   "history",
+		Short: "Print the latest changes and how each was decided",
+		Args:  cobra.NoArgs,
+		RunE: func(command *cobra.Command, _ []string) error {
+			var verdicts []encoder.Verdict
+			if err := c.get(command.Context(), "/config/history", &verdicts); err != nil {
+				return err
+			}
+			for _, v := range verdicts {
+				fmt.Fprintln(command.OutOrStdout(), describe(v))
+			}
+			return nil
+		},
+	}
+}
+
+func describe(v encoder.Verdict) string {
+	line := fmt.Sprintf("%d\t%s\t%s\t%s\t", v.Offset, v.At.Format(time.RFC3339), v.Author, v.ID)
+	if v.Accepted {
+		return line + "accepted"
+	}
+	return line + fmt.Sprintf("rejected: %s/%s had been changed by %d", v.Conflict.Section, v.Conflict.Name, v.Winner)
+}
+
+func newConfigApplyCommand(c *client) *cobra.Command {
+	var author string
+	var prune, dry bool
+	command := &cobra.Command{
+		Use:   "apply FILE",
+		Short: "Make the configuration what the file says and wait until it is in force",
+		Long: "Make the configuration what the file says and wait until it is in force.\n\n" +
+			"Items that the file does not name stay, unless --prune is given. Sheets are never touched.",
+		Example: "  dragonflyctl config apply configuration.json --admin 127.0.0.1:8082",
+		Args:    cobra.ExactArgs(1),
+		RunE: func(command *cobra.Command, args []string) error {
+			data, err := os.ReadFile(args[0])
+			if err != nil {
+				return err
+			}
+			wanted, err := encoder.ParsePlan(data)
+			if err != nil {
+				return fmt.Errorf("%s: %w", args[0], err)
+			}
+			current, err := c.items(command.Context())
+			if err != nil {
+				return err
+			}
+			return c.submit(command, author, difference(current, wanted, prune), dry)
+		},
+	}
+	addAuthorFlag(command, &author)
+	command.Flags().BoolVar(&prune, "prune", false, "remove items that the file does not name")
+	command.Flags().BoolVar(&dry, "dry", false, "print the edits without sending them")
+	return command
+}
+
+func addAuthorFlag(command *cobra.Command, author *string) {
+	command.Flags().StringVar(author, "author", os.Getenv("USER"), "name that the history shows")
+}
+
+// items returns the configuration in force.
+func (c *client) items(ctx context.Context) ([]dragonflypass.Versioned, error) {
+	var config administrator.Config
+	if err := c.get(ctx, "/config", &config); err != nil {
+		return nil, err
+	}
+	return encoder.ToVersioned(config.Items)
+}
+
+// difference returns the edits that turn the current items into the wanted ones.
+func difference(current, wanted []dragonflypass.Versioned, prune bool) []dragonflypass.Edit {
+	known := make(map[dragonflypass.ItemKey]dragonflypass.Versioned, len(current))
+	for _, v := range current {
+		known[v.Key] = v
+	}
+	var edits []dragonflypass.Edit
+	for _, v := range wanted {
+		before, ok := known[v.Key]
+		delete(known, v.Key)
+		if ok && sameItem(before.Item, v.Item) {
+			continue
+		}
+		item := v.Item
+		edits = append(edits, dragonflypass.Edit{Key: v.Key, Base: before.Version, Item: &item})
+	}
+	if !prune {
+		return edits
+	}
+	for _, v := range current {
+		if _, left := known[v.Key]; left && v.Key.Section != dragonflypass.SectionSheet {
+			edits = append(edits, dragonflypass.Edit{Key: v.Key, Base: v.Version})
+		}
+	}
+	return edits
+}
+
+func sameItem(a, b dragonflypass.Item) bool {
+	return reflect.DeepEqual(jsonForm(a), jsonForm(b))
+}
+
+func jsonForm(item dragonflypass.Item) string {
+	data, err := json.Marshal(encoder.FromItem(item))
+	if err != nil {
+		return err.Error()
+	}
+	return string(data)
+}
+
+// submit prints the edits, sends them as one change and reports what became of it.
+func (c *client) submit(command *cobra.Command, author string, edits []dragonflypass.Edit, dry bool) error {
+	out := command.OutOrStdout()
+	if len(edits) == 0 {
+		fmt.Fprintln(out, "nothing to change")
+		return nil
+	}
+	for _, e := range edits {
+		fmt.Fprintln(out, summary(e))
+	}
+	if dry {
+		return nil
+	}
+	change := dragonflypass.Change{ID: uuid.NewString(), Author: author, At: time.Now().UTC(), Edits: edits}
+	var outcome administrator.Outcome
+	err := c.call(command.Context(), http.MethodPost, "/config/changes", encoder.FromChange(change), &outcome)
+	if lost, conflict := conflictOf(err); conflict {
+		return fmt.Errorf("the change lost: %s", describe(lost))
+	}
+	if _, answered := errors.AsType[*statusError](err); err != nil && !answered {
+		return fmt.Errorf("the answer was lost; look for change %s in the history: %w", change.ID, err)
+	}
+	if err != nil {
+		return err
+	}
+	fmt.Fprintf(out, "change %d in force on %d of %d entry VMs after %.1f s\n",
+		outcome.Verdict.Offset, outcome.Nodes, outcome.Known, outcome.Seconds)
+	if outcome.Nodes < outcome.Known {
+		return fmt.Errorf("%d entry VMs have not confirmed the change yet", outcome.Known-outcome.Nodes)
+	}
+	return nil
+}
+
+func summary(e dragonflypass.Edit) string {
+	switch {
+	case e.Item == nil:
+		return fmt.Sprintf("- %s/%s", e.Key.Section, e.Key.Name)
+	case e.Base == 0:
+		return fmt.Sprintf("+ %s/%s", e.Key.Section, e.Key.Name)
+	}
+	return fmt.Sprintf("~ %s/%s (based on %d)", e.Key.Section, e.Key.Name, e.Base)
+}
+
+// conflictOf returns the verdict on a change that lost against another one.
+func conflictOf(err error) (encoder.Verdict, bool) {
+	failed, ok := errors.AsType[*statusError](err)
+	if !ok || failed.status != http.StatusConflict {
+		return encoder.Verdict{}, false
+	}
+	var outcome administrator.Outcome
+	if json.Unmarshal(failed.body, &outcome) != nil || outcome.Verdict.Conflict == nil {
+		return encoder.Verdict{}, false
+	}
+	return outcome.Verdict, true
+}
+
+func printJSON(command *cobra.Command, value any) error {
+	e := json.NewEncoder(command.OutOrStdout())
+	e.SetIndent("", "  ")
+	return e.Encode(value)
+}
--- /dev/null
+++ b/cmd/dragonflyctl/doc.go
@@ -0,0 +1,2 @@
+// Command dragonflyctl is the operators' tool.
+package main
--- /dev/null
+++ b/cmd/dragonflyctl/main.go
@@ -0,0 +1,52 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/spf13/cobra"
+)
+
+// version is the release of the program.
+const version = "0.1.0"
+
+func main() {
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+	defer stop()
+	if err := newRootCommand().ExecuteContext(ctx); err != nil {
+		fmt.Fprintln(os.Stderr, "dragonflyctl:", err)
+		stop()
+		os.Exit(1)
+	}
+}
+
+func newRootCommand() *cobra.Command {
+	c := &client{}
+	root := &cobra.Command{
+		Use:           "dragonflyctl",
+		Short:         "Operates the entry VMs of dragonflypass",
+		Version:       version,
+		SilenceUsage:  true,
+		SilenceErrors: true,
+	}
+	flags := root.PersistentFlags()
+	flags.StringSliceVar(&c.addresses, "admin", nil, "operators' addresses of entry VMs, the first that answers is used")
+	flags.StringVar(&c.secretFile, "secret", "", "file with the operators' credential (default: variable DRAGONFLYPASS_SECRET)")
+	root.AddCommand(
+		newConfigCommand(c), newSheetCommand(c), newClaimsCommand(c),
+		newDumpCommand(c), newDrainCommand(c), newVersionCommand(),
+	)
+	return root
+}
+
+func newVersionCommand() *cobra.Command {
+	return &cobra.Command{
+		Use:   "version",
+		Short: "Print the version",
+		Args:  cobra.NoArgs,
+		Run:   func(command *cobra.Command, _ []string) { fmt.Fprintln(command.OutOrStdout(), version) },
+	}
+}
--- /dev/null
+++ b/cmd/dragonflyctl/node.go
@@ -0,0 +1,111 @@
+package main
+
+import (
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"time"
+
+	"github.com/spf13/cobra"
+
+	"github.com/dragonflypass/dragonflypass/adapter/administrator"
+	"github.com/dragonflypass/dragonflypass/adapter/encoder"
+)
+
+func newDumpCommand(c *client) *cobra.Command {
+	var vm string
+	command := &cobra.Command{
+		Use:     "dump",
+		Short:   "Print the tables of the entry VMs named with --admin, as JSON",
+		Example: "  dragonflyctl dump --admin 127.0.0.1:8082,127.0.0.1:8085",
+		Args:    cobra.NoArgs,
+		RunE: func(command *cobra.Command, _ []string) error {
+			states := []json.RawMessage{}
+			for _, address := range c.addresses {
+				var state json.RawMessage
+				if err := c.callOne(command.Context(), address, http.MethodGet, "/debug/state", nil, &state); err != nil {
+					return fmt.Errorf("%s: %w", address, err)
+				}
+				var named administrator.State
+				if err := json.Unmarshal(state, &named); err != nil {
+					return err
+				}
+				if vm == "" || named.VM == vm {
+					states = append(states, state)
+				}
+			}
+			return printJSON(command, states)
+		},
+	}
+	command.Flags().StringVar(&vm, "vm", "", "only the entry VM with this name")
+	return command
+}
+
+func newDrainCommand(c *client) *cobra.Command {
+	return &cobra.Command{
+		Use:     "drain VM",
+		Short:   "Have an entry VM take no new work and finish what it has",
+		Example: "  dragonflyctl drain cph-a-1 --admin 127.0.0.1:8082,127.0.0.1:8085",
+		Args:    cobra.ExactArgs(1),
+		RunE: func(command *cobra.Command, args []string) error {
+			for _, address := range c.addresses {
+				var state administrator.State
+				if c.callOne(command.Context(), address, http.MethodGet, "/debug/state", nil, &state) != nil || state.VM != args[0] {
+					continue
+				}
+				if err := c.callOne(command.Context(), address, http.MethodPost, "/drain", nil, nil); err != nil {
+					return err
+				}
+				fmt.Fprintf(command.OutOrStdout(), "%s is draining, %d requests in progress\n", state.VM, state.Busy)
+				return nil
+			}
+			return fmt.Errorf("%w: %s", errNoVM, args[0])
+		},
+	}
+}
+
+func newClaimsCommand(c *client) *cobra.Command {
+	command := &cobra.Command{
+		Use:   "claims",
+		Short: "List calls that run at most once and whose outcome is not known",
+		Args:  cobra.NoArgs,
+		RunE: func(command *cobra.Command, _ []string) error {
+			var claims []administrator.Claim
+			if err := c.get(command.Context(), "/claims", &claims); err != nil {
+				return err
+			}
+			for _, claim := range claims {
+				id, _ := claim.Nonce.MarshalText()
+				fmt.Fprintf(command.OutOrStdout(), "%s\t%s\t%s\t%s\t%s\t%s\n",
+					id, claim.State, claim.At.Format(time.RFC3339), claim.Account, claim.Service, claim.VM)
+			}
+			return nil
+		},
+	}
+	command.AddCommand(newSettleCommand(c))
+	return command
+}
+
+func newSettleCommand(c *client) *cobra.Command {
+	var ran, notRun, gone bool
+	command := &cobra.Command{
+		Use:     "settle ID",
+		Short:   "Record what became of a call whose outcome is not known",
+		Example: "  dragonflyctl claims settle 0123456789abcdef0123456789abcdef --ran --admin 127.0.0.1:8082",
+		Args:    cobra.ExactArgs(1),
+		RunE: func(command *cobra.Command, args []string) error {
+			var nonce encoder.Token
+			if err := nonce.UnmarshalText([]byte(args[0])); err != nil {
+				return err
+			}
+			body := administrator.Settlement{Nonce: nonce, Ran: ran, Gone: gone}
+			return c.call(command.Context(), http.MethodPost, "/claims/settle", body, nil)
+		},
+	}
+	command.Flags().BoolVar(&ran, "ran", false, "the call ran; its key stays taken")
+	command.Flags().BoolVar(&notRun, "not-run", false, "the call did not run; its key is free again")
+	command.Flags().BoolVar(&gone, "gone", false, "the claim's VM is gone for good and cannot send the call any more")
+	command.MarkFlagsMutuallyExclusive("ran", "not-run")
+	command.MarkFlagsOneRequired("ran", "not-run")
+	return command
+}
--- /dev/null
+++ b/cmd/dragonflypass/doc.go
@@ -0,0 +1,2 @@
+// Command dragonflypass is the process of an entry VM.
+package main
--- /dev/null
+++ b/cmd/dragonflypass/main.go
@@ -0,0 +1,51 @@
+package main
+
+import (
+	"errors"
+	"fmt"
+	"os"
+
+	"github.com/spf13/cobra"
+
+	"github.com/dragonflypass/dragonflypass/adapter/loader"
+)
+
+// version is the release of the program.
+const version = "0.1.0"
+
+func main() {
+	if err := newRootCommand().Execute(); err != nil {
+		report(err)
+		os.Exit(1)
+	}
+}
+
+func newRootCommand() *cobra.Command {
+	root := &cobra.Command{
+		Use:           "dragonflypass",
+		Short:         "Serves language-model prompts between callers and backend servers",
+		Version:       version,
+		SilenceUsage:  true,
+		SilenceErrors: true,
+	}
+	root.AddCommand(newServeCommand(), newCheckCommand(), newVersionCommand())
+	return root
+}
+
+func newVersionCommand() *cobra.Command {
+	return &cobra.Command{
+		Use:   "version",
+		Short: "Print the version",
+		Args:  cobra.NoArgs,
+		Run:   func(command *cobra.Command, _ []string) { fmt.Fprintln(command.OutOrStdout(), version) },
+	}
+}
+
+// report prints an error; each fault of the settings has a line of its own.
+func report(err error) {
+	if faults, ok := errors.AsType[loader.Faults](err); ok {
+		fmt.Fprintf(os.Stderr, "the settings have %d faults:\n%v\n", len(faults), faults)
+		return
+	}
+	fmt.Fprintln(os.Stderr, "dragonflypass:", err)
+}
--- /dev/null
+++ b/cmd/dragonflypass/serve.go
@@ -0,0 +1,84 @@
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"os"
+	"os/signal"
+	"syscall"
+	"time"
+
+	"github.com/spf13/cobra"
+	"go.uber.org/fx"
+
+	"github.com/dragonflypass/dragonflypass/adapter/assembler"
+	"github.com/dragonflypass/dragonflypass/adapter/loader"
+)
+
+// stopMargin is the time for closing after the open streams have ended.
+const stopMargin = 10 * time.Second
+
+func newServeCommand() *cobra.Command {
+	var file string
+	command := &cobra.Command{
+		Use:   "serve",
+		Short: "Serve callers until told to stop",
+		Long: "Serve callers until told to stop.\n\n" +
+			"SIGTERM or SIGINT starts a graceful shutdown, a second one ends the process at once.\n" +
+			"SIGUSR1 writes the state of the process to standard error.",
+		Example: "  dragonflypass serve --settings settings.json",
+		Args:    cobra.NoArgs,
+		RunE:    func(*cobra.Command, []string) error { return serve(file) },
+	}
+	addSettingsFlag(command, &file)
+	return command
+}
+
+func serve(file string) error {
+	settings, err := loader.Load(file)
+	if err != nil {
+		return err
+	}
+	var node *assembler.Node
+	app := fx.New(
+		assembler.Module(settings, os.Stderr),
+		fx.Populate(&node),
+		fx.StopTimeout(time.Duration(settings.Times.Drain)+stopMargin),
+	)
+	if err := app.Start(context.Background()); err != nil {
+		return err
+	}
+	fmt.Printf("serving callers on %s, peers on %s, operators on %s\n",
+		node.Listeners.CallerAddress(), node.Listeners.PeerAddress(), node.Listeners.AdminAddress())
+	waitForStop(node)
+	ctx, cancel := context.WithTimeout(context.Background(), app.StopTimeout())
+	defer cancel()
+	return app.Stop(ctx)
+}
+
+// waitForStop returns at the first signal to stop and has the second one end the process.
+func waitForStop(node *assembler.Node) {
+	dump := make(chan os.Signal, 1)
+	signal.Notify(dump, syscall.SIGUSR1)
+	stop := make(chan os.Signal, 2)
+	signal.Notify(stop, syscall.SIGTERM, syscall.SIGINT)
+	for {
+		select {
+		case <-dump:
+			writeState(node)
+		case <-stop:
+			go func() {
+				<-stop
+				os.Exit(1)
+			}()
+			return
+		}
+	}
+}
+
+func writeState(node *assembler.Node) {
+	encoder := json.NewEncoder(os.Stderr)
+	encoder.SetIndent("", "  ")
+	_ = encoder.Encode(node.Admin.State())
+}
--- /dev/null
+++ b/cmd/standin/doc.go
@@ -0,0 +1,3 @@
+// Command standin runs small stand-ins for the outside systems, for tests and
+// demonstrations.
+package main
