--- a/adapter/administrator/administrator.go
+++ b/adapter/administrator/administrator.go
@@ -16,6 +16,7 @@
 	"github.com/dragonflypass/dragonflypass/adapter/encoder"
 	"github.com/dragonflypass/dragonflypass/core/checker"
 	"github.com/dragonflypass/dragonflypass/core/claimer"
+	"github.com/dragonflypass/dragonflypass/core/composer"
 	"github.com/dragonflypass/dragonflypass/core/configurer"
 )
 
@@ -28,27 +29,11 @@
 	changeLimit = 8 << 20
 )
 
-// Members tells of the other entry VMs.
-type Members interface {
-	// Others returns the other entry VMs that are not gone.
-	Others() []dragonflypass.Member
-}
-
 // Administrator answers operators.
 type Administrator struct {
-	Self       dragonflypass.VMID
+	Core       *composer.Node
 	Credential string
-	Timer      dragonflypass.Timer
-	Configurer *configurer.Configurer
-	Claimer    *claimer.Claimer
-	Members    Members
 	Metrics    expvar.Var
-	// State returns the tables of the process.
-	State func() State
-	// Ready reports whether the process takes callers' requests.
-	Ready func() bool
-	// Drain takes the VM out of service.
-	Drain func(context.Context)
 }
 
 // Handler returns the operators' HTTP interface.
@@ -74,7 +59,7 @@
 		_, _ = fmt.Fprintln(w, "ok")
 	}).Methods(http.MethodGet)
 	router.HandleFunc("/readyz", func(w http.ResponseWriter, _ *http.Request) {
-		if !a.Ready() {
+		if !a.Core.Ready() {
 			http.Error(w, "not ready", http.StatusServiceUnavailable)
 			return
 		}
@@ -129,13 +114,13 @@
 }
 
 func (a *Administrator) showConfig(w http.ResponseWriter, _ *http.Request) {
-	current := a.Configurer.Current()
+	current := a.Core.Configurer.Current()
 	write(w, http.StatusOK, Config{Offset: uint64(current.Offset), Items: encoder.FromVersioned(current.Items)})
 }
 
 func (a *Administrator) showHistory(w http.ResponseWriter, _ *http.Request) {
 	verdicts := []encoder.Verdict{}
-	for _, v := range a.Configurer.History() {
+	for _, v := range a.Core.Configurer.History() {
 		verdicts = append(verdicts, encoder.FromVerdict(v))
 	}
 	write(w, http.StatusOK, verdicts)
@@ -162,15 +147,15 @@
 		fail(w, http.StatusBadRequest, "a change needs an identifier and edits: %v", err)
 		return
 	}
-	after := checker.Apply(a.Configurer.Current().Items, change.Edits)
+	after := checker.Apply(a.Core.Configurer.Current().Items, change.Edits)
 	if faults := checker.Check(after); len(faults) > 0 {
 		write(w, http.StatusUnprocessableEntity, Failure{Detail: "the change is faulty; nothing was sent", Faults: lines(faults)})
 		return
 	}
-	begun := a.Timer.Now()
-	ctx, cancel := a.Timer.WithDeadline(r.Context(), begun.Add(submitTimeout))
+	begun := a.Core.Ports.Timer.Now()
+	ctx, cancel := a.Core.Ports.Timer.WithDeadline(r.Context(), begun.Add(submitTimeout))
 	defer cancel()
-	verdict, err := a.Configurer.Submit(ctx, change)
+	verdict, err := a.Core.Configurer.Submit(ctx, change)
 	switch {
 	case errors.Is(err, configurer.ErrUnsent):
 		fail(w, http.StatusServiceUnavailable, "the log does not answer; the change was not sent")
@@ -183,7 +168,7 @@
 	if verdict.Accepted {
 		outcome.Nodes, outcome.Known = a.awaitForce(ctx, verdict.Offset)
 	}
-	outcome.Seconds = a.Timer.Now().Sub(begun).Seconds()
+	outcome.Seconds = a.Core.Ports.Timer.Now().Sub(begun).Seconds()
 	status := http.StatusOK
 	if !verdict.Accepted {
 		status = http.StatusConflict
@@ -207,7 +192,7 @@
 			return nodes, known
 		}
 		waited := make(chan struct{})
-		stop := a.Timer.At(dragonflypass.JobSweep, a.Timer.Now().Add(forceCheck), func(context.Context) { close(waited) })
+		stop := a.Core.Ports.Timer.At(dragonflypass.JobSweep, a.Core.Ports.Timer.Now().Add(forceCheck), func(context.Context) { close(waited) })
 		select {
 		case <-waited:
 		case <-ctx.Done():
@@ -218,11 +203,11 @@
 }
 
 func (a *Administrator) inForce(offset dragonflypass.Offset) (nodes, known int) {
-	if a.Configurer.Current().Offset >= offset {
+	if a.Core.Configurer.Current().Offset >= offset {
 		nodes++
 	}
 	known = 1
-	for _, member := range a.Members.Others() {
+	for _, member := range a.Core.Detector.Others() {
 		known++
 		if member.Config >= offset {
 			nodes++
@@ -247,7 +232,7 @@
 
 func (a *Administrator) claims() []Claim {
 	claims := []Claim{}
-	for _, h := range a.Claimer.Open() {
+	for _, h := range a.Core.Claimer.Open() {
 		claims = append(claims, Claim{
 			Nonce: encoder.Token(h.Claim.Nonce), Account: string(h.Claim.Key.Account), Service: string(h.Claim.Key.Service),
 			VM: string(h.Claim.VM), At: h.Claim.At, State: h.State.String(),
@@ -271,7 +256,7 @@
 		fail(w, http.StatusBadRequest, "the body is not a settlement: %v", err)
 		return
 	}
-	err := a.Claimer.Settle(r.Context(), dragonflypass.Nonce(body.Nonce), body.Ran, body.Gone)
+	err := a.Core.Claimer.Settle(r.Context(), dragonflypass.Nonce(body.Nonce), body.Ran, body.Gone)
 	switch {
 	case errors.Is(err, dragonflypass.ErrUnknown):
 		fail(w, http.StatusNotFound, "no open claim has this identifier")
@@ -285,6 +270,6 @@
 }
 
 func (a *Administrator) startDrain(w http.ResponseWriter, r *http.Request) {
-	a.Drain(context.WithoutCancel(r.Context()))
+	a.Core.Drainer.Start(context.WithoutCancel(r.Context()))
 	w.WriteHeader(http.StatusAccepted)
 }
--- a/adapter/administrator/state.go
+++ b/adapter/administrator/state.go
@@ -77,22 +77,35 @@
 	Until   time.Time `json:"until"`
 }
 
-// SetMembers fills in the other entry VMs.
-func (s *State) SetMembers(members []dragonflypass.Member) {
-	s.Members = make([]Member, 0, len(members))
-	for _, m := range members {
-		s.Members = append(s.Members, Member{
+// State returns the tables of the process.
+func (a *Administrator) State() State {
+	core := a.Core
+	state := State{
+		VM: string(core.Options.Self.ID), Zone: string(core.Options.Self.Zone), Incarnation: core.Options.Incarnation,
+		At: core.Ports.Timer.Now(), Leaving: core.Detector.Leaving(), Ready: core.Ready(),
+		Config: uint64(core.Configurer.Current().Offset),
+		Busy:   core.Drainer.Busy(), Open: core.Dispatcher.Open(), Buffered: core.Admitter.Buffered(),
+		Members: members(core.Detector.Others()), Claims: a.claims(), Suspects: suspects(core.Guard.Rows()),
+	}
+	owned := core.Scheduler.State()
+	state.Waiting, state.Servers, state.Permits = owned.Waiting, servers(owned.Servers), permits(owned.Permits)
+	return state
+}
+
+func members(rows []dragonflypass.Member) []Member {
+	result := make([]Member, 0, len(rows))
+	for _, m := range rows {
+		result = append(result, Member{
 			VM: string(m.VM.ID), Zone: string(m.VM.Zone), Address: m.VM.Peer.String(), State: m.State.String(),
 			Incarnation: m.Incarnation, Heard: m.Heard, Config: uint64(m.Config),
 		})
 	}
+	return result
 }
 
-// SetOwned fills in the owned servers and their permits.
-func (s *State) SetOwned(owned scheduler.State) {
-	s.Waiting = owned.Waiting
-	s.Servers = make([]Server, 0, len(owned.Servers))
-	for _, row := range owned.Servers {
+func servers(rows []scheduler.Row) []Server {
+	result := make([]Server, 0, len(rows))
+	for _, row := range rows {
 		server := Server{
 			ID: string(row.Server), Reachable: row.Reachable, Epoch: row.Epoch, Memory: row.Memory,
 			Reserved: row.Reserved, Free: row.Free, Streams: row.Streams, Slots: row.Slots,
@@ -100,24 +113,26 @@
 		if !row.Closing.IsZero() {
 			server.Closing = &row.Closing
 		}
-		s.Servers = append(s.Servers, server)
+		result = append(result, server)
 	}
-	s.Permits = make([]Permit, 0, len(owned.Permits))
-	for _, row := range owned.Permits {
-		s.Permits = append(s.Permits, Permit{
+	return result
+}
+
+func permits(rows []scheduler.PermitRow) []Permit {
+	result := make([]Permit, 0, len(rows))
+	for _, row := range rows {
+		result = append(result, Permit{
 			VM: string(row.Stream.VM), Sequence: row.Stream.Sequence, Server: string(row.Server), Account: string(row.Account),
 			Rank: row.Rank, Tokens: row.Tokens, Granted: row.Granted, Heard: row.Heard, Orphan: row.Orphan,
 		})
 	}
+	return result
 }
 
-// SetClaims fills in the claims without a known outcome.
-func (a *Administrator) SetClaims(s *State) { s.Claims = a.claims() }
-
-// SetSuspects fills in the requests that may crash backend servers.
-func (s *State) SetSuspects(rows []quarantiner.Row) {
-	s.Suspects = make([]Suspect, 0, len(rows))
+func suspects(rows []quarantiner.Row) []Suspect {
+	result := make([]Suspect, 0, len(rows))
 	for _, row := range rows {
-		s.Suspects = append(s.Suspects, Suspect{Account: string(row.Account), Model: string(row.Model), Crashes: row.Crashes, Until: row.Until})
+		result = append(result, Suspect{Account: string(row.Account), Model: string(row.Model), Crashes: row.Crashes, Until: row.Until})
 	}
+	return result
 }
--- a/adapter/assembler/doc.go
+++ b/adapter/assembler/doc.go
@@ -1,2 +1,3 @@
-// Package assembler puts the parts of an entry VM's process together.
+// Package assembler puts the process of an entry VM together: the decisions of
+// the core with the adapters, by the settings.
 package assembler
--- a/adapter/assembler/front.go
+++ b/adapter/assembler/front.go
@@ -3,6 +3,8 @@
 import (
 	"crypto/tls"
 	"crypto/x509"
+	"io"
+	stdlog "log"
 	"net"
 	"net/http"
 	"net/netip"
@@ -18,15 +20,7 @@
 	"github.com/dragonflypass/dragonflypass/adapter/loader"
 	"github.com/dragonflypass/dragonflypass/adapter/messenger"
 	"github.com/dragonflypass/dragonflypass/adapter/responder"
-	"github.com/dragonflypass/dragonflypass/core/claimer"
-	"github.com/dragonflypass/dragonflypass/core/configurer"
-	"github.com/dragonflypass/dragonflypass/core/detector"
-	"github.com/dragonflypass/dragonflypass/core/dispatcher"
-	"github.com/dragonflypass/dragonflypass/core/drainer"
-	"github.com/dragonflypass/dragonflypass/core/forwarder"
-	"github.com/dragonflypass/dragonflypass/core/handler"
-	"github.com/dragonflypass/dragonflypass/core/quarantiner"
-	"github.com/dragonflypass/dragonflypass/core/scheduler"
+	"github.com/dragonflypass/dragonflypass/core/composer"
 )
 
 // headerLimit is the largest header of a request in bytes.
@@ -77,59 +71,23 @@
 // AdminAddress is where operators reach the process.
 func (l *Listeners) AdminAddress() netip.AddrPort { return addressOf(l.Admin) }
 
-func newResponder(settings *loader.Settings, timer dragonflypass.Timer, parts dispatcherParts, completions *dispatcher.Dispatcher, calls *forwarder.Forwarder) *responder.Responder {
-	return &responder.Responder{
-		Timer: timer, Completer: completions, Forwarder: calls, Buffer: parts.Admitter,
-		Current: parts.Config.Current, Leaving: parts.Detector.Leaving,
+func newResponder(settings *loader.Settings, core *composer.Node) *responder.Responder {
+	r := &responder.Responder{
+		Timer: core.Ports.Timer, Completer: core.Dispatcher, Forwarder: core.Forwarder, Buffer: core.Admitter,
+		Current: core.Configurer.Current, Leaving: core.Detector.Leaving,
 		Body: settings.Limits.Body, Upload: time.Duration(settings.Limits.Upload), Write: time.Duration(settings.Limits.Write),
 	}
+	core.Drainer.Busy = r.Busy
+	return r
 }
 
-type adminParts struct {
-	parts dispatcherParts
-	self  dragonflypass.VM
-	start Incarnation
-	open  *dispatcher.Dispatcher
-	front *responder.Responder
-	admin *administrator.Administrator
+func newAdministrator(settings *loader.Settings, core *composer.Node, metrics *counter.Counter) *administrator.Administrator {
+	return &administrator.Administrator{Core: core, Credential: settings.Admin.Secret.Value, Metrics: metrics}
 }
 
-func newAdministrator(settings *loader.Settings, timer dragonflypass.Timer, self dragonflypass.VM, start Incarnation, parts dispatcherParts,
-	metrics *counter.Counter, claims *claimer.Claimer, open *dispatcher.Dispatcher, front *responder.Responder, drains *drainer.Drainer,
-) *administrator.Administrator {
-	drains.Busy = front.Busy
-	p := &adminParts{parts: parts, self: self, start: start, open: open, front: front}
-	p.admin = &administrator.Administrator{
-		Self: self.ID, Credential: settings.Admin.Secret.Value, Timer: timer, Configurer: parts.Config, Claimer: claims,
-		Members: parts.Detector, Metrics: metrics, State: p.state, Ready: p.ready, Drain: drains.Start,
-	}
-	return p.admin
-}
-
-// ready reports whether the VM takes callers' requests: it has a configuration and is not leaving.
-func (p *adminParts) ready() bool {
-	return !p.parts.Detector.Leaving() && p.parts.Config.Current().Offset > 0
-}
-
-func (p *adminParts) state() administrator.State {
-	state := administrator.State{
-		VM: string(p.self.ID), Zone: string(p.self.Zone), Incarnation: uint64(p.start), At: p.admin.Timer.Now(),
-		Leaving: p.parts.Detector.Leaving(), Ready: p.ready(), Config: uint64(p.parts.Config.Current().Offset),
-		Busy: p.front.Busy(), Open: p.open.Open(), Buffered: p.parts.Admitter.Buffered(),
-	}
-	state.SetMembers(p.parts.Detector.Others())
-	state.SetOwned(p.parts.Scheduler.State())
-	state.SetSuspects(p.parts.Guard.Rows())
-	p.admin.SetClaims(&state)
-	return state
-}
-
-func newPeerServer(settings *loader.Settings, pool dragonflypass.Pool, meter dragonflypass.Meter, members *detector.Detector,
-	config *configurer.Configurer, owned *scheduler.Scheduler, guard *quarantiner.Quarantiner,
-) *messenger.Server {
+func newPeerServer(settings *loader.Settings, core *composer.Node, pool dragonflypass.Pool, meter dragonflypass.Meter) *messenger.Server {
 	s := messenger.NewServer()
-	s.Credential, s.Pool, s.Meter = settings.Peers.Secret.Value, pool, meter
-	s.Handler = &handler.Handler{Scheduler: owned, Detector: members, Configurer: config, Guard: guard}
+	s.Credential, s.Pool, s.Meter, s.Handler = settings.Peers.Secret.Value, pool, meter, core.Handler()
 	return s
 }
 
@@ -138,7 +96,7 @@
 	return &http.Server{
 		Handler: handler, MaxHeaderBytes: headerLimit,
 		ReadHeaderTimeout: time.Duration(settings.Limits.Header), IdleTimeout: time.Duration(settings.Limits.Idle),
-		ErrorLog: quietLog(),
+		ErrorLog: stdlog.New(io.Discard, "", 0),
 	}
 }
 
--- a/adapter/assembler/node.go
+++ b/adapter/assembler/node.go
@@ -3,8 +3,6 @@
 import (
 	"context"
 	"crypto/tls"
-	"io"
-	stdlog "log"
 	"net"
 	"net/http"
 	"sync"
@@ -12,7 +10,6 @@
 
 	"go.uber.org/fx"
 
-	"github.com/dragonflypass/dragonflypass"
 	"github.com/dragonflypass/dragonflypass/adapter/administrator"
 	"github.com/dragonflypass/dragonflypass/adapter/appender"
 	"github.com/dragonflypass/dragonflypass/adapter/counter"
@@ -22,11 +19,7 @@
 	"github.com/dragonflypass/dragonflypass/adapter/responder"
 	"github.com/dragonflypass/dragonflypass/adapter/streamer"
 	"github.com/dragonflypass/dragonflypass/adapter/timer"
-	"github.com/dragonflypass/dragonflypass/core/claimer"
-	"github.com/dragonflypass/dragonflypass/core/configurer"
-	"github.com/dragonflypass/dragonflypass/core/dispatcher"
-	"github.com/dragonflypass/dragonflypass/core/drainer"
-	"github.com/dragonflypass/dragonflypass/core/watcher"
+	"github.com/dragonflypass/dragonflypass/core/composer"
 	"github.com/dragonflypass/dragonflypass/core/worker"
 )
 
@@ -36,11 +29,10 @@
 // Node is the assembled process of one entry VM.
 type Node struct {
 	Settings  *loader.Settings
-	Self      dragonflypass.VM
+	Core      *composer.Node
 	Listeners *Listeners
 	Metrics   *counter.Counter
 	Admin     *administrator.Administrator
-	Drainer   *drainer.Drainer
 	// Client reaches the other entry VMs.
 	Client *messenger.Client
 
@@ -48,87 +40,51 @@
 	cancel  context.CancelFunc
 	running sync.WaitGroup
 	servers []*http.Server
+	closed  sync.Once
 }
 
-// nodeParts are the parts that run.
+// nodeParts are the adapters that run or are closed.
 type nodeParts struct {
 	fx.In
 
-	Common     detectorParts
-	Dispatch   dispatcherParts
-	Listeners  *Listeners
-	Metrics    *counter.Counter
 	Pool       *worker.Pool
 	Timer      *timer.Service
-	Configurer *configurer.Configurer
-	Watcher    *watcher.Watcher
-	Dispatcher *dispatcher.Dispatcher
-	Claimer    *claimer.Claimer
-	Drainer    *drainer.Drainer
 	Responder  *responder.Responder
-	Admin      *administrator.Administrator
 	PeerServer *messenger.Server
-	Client     *messenger.Client
 	Appender   *appender.Appender
 	Lister     *lister.Lister
 	Streamer   *streamer.Streamer
 }
 
-// newNode ties the parts to each other and to the process's start and stop.
-func newNode(lifecycle fx.Lifecycle, parts nodeParts) *Node {
-	n := &Node{
-		Settings: parts.Common.Settings, Self: parts.Common.Self, Listeners: parts.Listeners, Metrics: parts.Metrics,
-		Admin: parts.Admin, Drainer: parts.Drainer, Client: parts.Client, parts: parts,
-	}
-	n.connect()
+// newNode ties the parts to the process's start and stop.
+func newNode(lifecycle fx.Lifecycle, settings *loader.Settings, core *composer.Node, listeners *Listeners,
+	metrics *counter.Counter, admin *administrator.Administrator, client *messenger.Client, parts nodeParts,
+) *Node {
+	n := &Node{Settings: settings, Core: core, Listeners: listeners, Metrics: metrics, Admin: admin, Client: client, parts: parts}
 	lifecycle.Append(fx.Hook{OnStart: n.start, OnStop: n.stop})
 	return n
 }
 
-// connect sets what parts need of parts that are made after them.
-func (n *Node) connect() {
-	p := &n.parts
-	members := p.Dispatch.Detector
-	members.Config = func() dragonflypass.Offset { return p.Configurer.Current().Offset }
-	members.Loads = p.Dispatch.Scheduler.Loads
-	members.Held = p.Dispatcher.Held
-	members.Received = p.Dispatch.Scheduler.Heard
-	members.Subscribe(p.Dispatch.Assigner.Assign)
-	p.Configurer.Subscribe(func(*dragonflypass.Configuration) { p.Dispatch.Assigner.Assign() })
-}
-
 func (n *Node) start(context.Context) error {
-	certificates, err := n.certificates()
-	if err != nil {
-		return err
+	peers := n.Listeners.Peers
+	if files := n.Settings.Peers.TLS; files != nil {
+		certificates, err := loadTLS(files)
+		if err != nil {
+			return err
+		}
+		peers = tls.NewListener(peers, certificates)
 	}
 	ctx, cancel := context.WithCancel(context.Background())
 	n.cancel = cancel
-	p := &n.parts
-	for _, run := range []func(context.Context){
-		p.Pool.Run, p.Timer.Run, p.Dispatch.Detector.Run, p.Configurer.Run, p.Dispatch.Scheduler.Run,
-		p.Watcher.Run, p.Dispatcher.Run, p.Claimer.Run, p.Drainer.Run,
-	} {
+	for _, run := range []func(context.Context){n.parts.Pool.Run, n.parts.Timer.Run, n.Core.Run} {
 		n.running.Go(func() { run(ctx) })
 	}
-	p.Pool.Submit(dragonflypass.JobConfig, p.Configurer.Refresh)
-	peers := p.Listeners.Peers
-	if certificates != nil {
-		peers = tls.NewListener(peers, certificates)
-	}
-	n.serve(p.Listeners.Callers, withProbes(p.Admin, p.Responder.Handler()))
-	n.serve(peers, p.PeerServer)
-	n.serve(p.Listeners.Admin, p.Admin.Handler())
+	n.serve(n.Listeners.Callers, withProbes(n.Admin, n.parts.Responder.Handler()))
+	n.serve(peers, n.parts.PeerServer)
+	n.serve(n.Listeners.Admin, n.Admin.Handler())
 	return nil
 }
 
-func (n *Node) certificates() (*tls.Config, error) {
-	if n.Settings.Peers.TLS == nil {
-		return nil, nil
-	}
-	return loadTLS(n.Settings.Peers.TLS)
-}
-
 func (n *Node) serve(listener net.Listener, handler http.Handler) {
 	server := newServer(n.Settings, handler)
 	n.servers = append(n.servers, server)
@@ -139,8 +95,8 @@
 func (n *Node) stop(ctx context.Context) error {
 	ctx, cancel := context.WithTimeout(ctx, time.Duration(n.Settings.Times.Drain))
 	defer cancel()
-	drained := n.parts.Drainer.Drain(ctx)
-	n.close()
+	drained := n.Core.Drainer.Drain(ctx)
+	n.closed.Do(n.close)
 	return drained
 }
 
@@ -153,20 +109,10 @@
 		}
 		cancel()
 	}
-	n.parts.Client.Close()
+	n.Client.Close()
 	n.cancel()
 	n.running.Wait()
 	n.parts.Appender.Close()
 	n.parts.Lister.Close()
 	n.parts.Streamer.Close()
 }
-
-// Kill ends the parts at once, as the death of the process would.
-func (n *Node) Kill() {
-	for _, server := range n.servers {
-		_ = server.Close()
-	}
-	n.close()
-}
-
-func quietLog() *stdlog.Logger { return stdlog.New(io.Discard, "", 0) }
--- a/adapter/messenger/message.go
+++ b/adapter/messenger/message.go
@@ -57,6 +57,7 @@
 	Prompt      int         `cbor:"prompt"`
 	Output      int         `cbor:"output"`
 	Expected    int         `cbor:"expected"`
+	Pace        int64       `cbor:"pace,omitempty"`
 	Fingerprint fingerprint `cbor:"print"`
 	Deadline    int64       `cbor:"deadline"`
 	Latest      int64       `cbor:"latest"`
@@ -177,7 +178,8 @@
 func toAcquire(r dragonflypass.PermitRequest) acquire {
 	w := acquire{
 		Stream: toStream(r.Stream), Account: string(r.Account), Weight: r.Weight, Model: string(r.Model), Rank: uint8(r.Rank),
-		Prompt: r.PromptTokens, Output: r.OutputTokens, Expected: r.ExpectedTokens, Fingerprint: toFingerprint(r.Fingerprint),
+		Prompt: r.PromptTokens, Output: r.OutputTokens, Expected: r.ExpectedTokens,
+		Pace: int64(r.Pace), Fingerprint: toFingerprint(r.Fingerprint),
 		Deadline: toNano(r.Deadline), Latest: toNano(r.LatestStart), Target: toNano(r.Target), Breaks: r.Breaks, Only: string(r.Only),
 	}
 	for _, server := range r.Exclude {
@@ -190,7 +192,8 @@
 	r := dragonflypass.PermitRequest{
 		Stream: w.Stream.id(), Account: dragonflypass.AccountID(w.Account), Weight: w.Weight, Model: dragonflypass.ModelID(w.Model),
 		Rank:         min(dragonflypass.Rank(w.Rank), dragonflypass.RankBulk),
-		PromptTokens: w.Prompt, OutputTokens: w.Output, ExpectedTokens: w.Expected, Fingerprint: w.Fingerprint.fingerprint(),
+		PromptTokens: w.Prompt, OutputTokens: w.Output, ExpectedTokens: w.Expected,
+		Pace: time.Duration(w.Pace), Fingerprint: w.Fingerprint.fingerprint(),
 		Deadline: fromNano(w.Deadline), LatestStart: fromNano(w.Latest), Target: fromNano(w.Target),
 		Breaks: w.Breaks, Only: dragonflypass.ServerID(w.Only),
 	}
--- /dev/null
+++ b/core/composer/composer.go
@@ -0,0 +1,219 @@
+package composer
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/dragonflypass/dragonflypass"
+	"github.com/dragonflypass/dragonflypass/core/admitter"
+	"github.com/dragonflypass/dragonflypass/core/assigner"
+	"github.com/dragonflypass/dragonflypass/core/claimer"
+	"github.com/dragonflypass/dragonflypass/core/configurer"
+	"github.com/dragonflypass/dragonflypass/core/detector"
+	"github.com/dragonflypass/dragonflypass/core/dispatcher"
+	"github.com/dragonflypass/dragonflypass/core/drainer"
+	"github.com/dragonflypass/dragonflypass/core/estimator"
+	"github.com/dragonflypass/dragonflypass/core/forwarder"
+	"github.com/dragonflypass/dragonflypass/core/handler"
+	"github.com/dragonflypass/dragonflypass/core/placer"
+	"github.com/dragonflypass/dragonflypass/core/quarantiner"
+	"github.com/dragonflypass/dragonflypass/core/ranker"
+	"github.com/dragonflypass/dragonflypass/core/retrier"
+	"github.com/dragonflypass/dragonflypass/core/scheduler"
+	"github.com/dragonflypass/dragonflypass/core/watcher"
+)
+
+// Ports are the outsides of a node.
+type Ports struct {
+	Timer     dragonflypass.Timer
+	Pool      dragonflypass.Pool
+	Log       dragonflypass.Log
+	Directory dragonflypass.Directory
+	Engine    dragonflypass.Engine
+	Caller    dragonflypass.Caller
+	Peers     dragonflypass.Peers
+	Meter     dragonflypass.Meter
+	Logger    dragonflypass.Logger
+}
+
+// Options are a node's identity and limits.
+type Options struct {
+	Self        dragonflypass.VM
+	Incarnation uint64
+	// Seeds are the entry VMs known before the platform's list is read.
+	Seeds []dragonflypass.VM
+	// Heartbeat is the shortest time between two heartbeats to one VM.
+	Heartbeat time.Duration
+	// Report is the time between two readings of a backend server's report.
+	Report time.Duration
+	// Poll is the time between two readings of the log.
+	Poll time.Duration
+	// List is the time between two readings of the platform's list of VMs.
+	List time.Duration
+	// Lease is the time without word after which a VM's permits lapse.
+	Lease time.Duration
+	// Lag is the longest age of a backend server's report.
+	Lag time.Duration
+	// Delay is the network time to another zone.
+	Delay time.Duration
+	// Retention is the time for which the log keeps records.
+	Retention time.Duration
+	// Remember is the time for which the outcome of an idempotency key is kept.
+	Remember time.Duration
+	// Shards is the number of claim streams, the same on every VM.
+	Shards int
+	// Buffer is the largest sum of buffered request bodies in bytes.
+	Buffer int64
+}
+
+// Defaults returns the options of a VM that names no times of its own.
+func Defaults(self dragonflypass.VM, incarnation uint64) Options {
+	return Options{
+		Self:        self,
+		Incarnation: incarnation,
+		Heartbeat:   time.Second,
+		Report:      500 * time.Millisecond,
+		Poll:        time.Second,
+		List:        5 * time.Second,
+		Lease:       10 * time.Second,
+		Lag:         2 * time.Second,
+		Delay:       time.Millisecond,
+		Retention:   24 * time.Hour,
+		Remember:    72 * time.Hour,
+		Shards:      4,
+		Buffer:      256 << 20,
+	}
+}
+
+// Node is the decisions of one entry VM.
+type Node struct {
+	Options    Options
+	Ports      Ports
+	Detector   *detector.Detector
+	Configurer *configurer.Configurer
+	Scheduler  *scheduler.Scheduler
+	Assigner   *assigner.Assigner
+	Watcher    *watcher.Watcher
+	Dispatcher *dispatcher.Dispatcher
+	Forwarder  *forwarder.Forwarder
+	Claimer    *claimer.Claimer
+	Drainer    *drainer.Drainer
+	Admitter   *admitter.Admitter
+	Guard      *quarantiner.Quarantiner
+	Retrier    *retrier.Retrier
+}
+
+// Compose builds a node; nothing runs before Run.
+func Compose(options Options, ports Ports) *Node {
+	n := &Node{Options: options, Ports: ports}
+	n.Guard = quarantiner.New()
+	n.Guard.Timer, n.Guard.Meter, n.Guard.Logger = ports.Timer, ports.Meter, ports.Logger
+	n.Retrier = retrier.New()
+	n.Admitter = admitter.New()
+	n.Admitter.Timer, n.Admitter.Budget = ports.Timer, options.Buffer
+	n.composeMembers()
+	n.composeOwner()
+	n.composeEntry()
+	n.connect()
+	return n
+}
+
+func (n *Node) composeMembers() {
+	o, p := n.Options, n.Ports
+	d := detector.New()
+	d.Self, d.Incarnation, d.Seeds = o.Self, o.Incarnation, o.Seeds
+	d.Timer, d.Pool, d.Peers, d.Directory = p.Timer, p.Pool, p.Peers, p.Directory
+	d.Meter, d.Logger = p.Meter, p.Logger
+	d.Interval, d.List = o.Heartbeat, o.List
+	n.Detector = d
+
+	c := configurer.New()
+	c.Timer, c.Log, c.Peers, c.Members = p.Timer, p.Log, p.Peers, d
+	c.Meter, c.Logger = p.Meter, p.Logger
+	c.Poll, c.Retention = o.Poll, o.Retention
+	n.Configurer = c
+}
+
+func (n *Node) composeOwner() {
+	o, p := n.Options, n.Ports
+	s := scheduler.New()
+	s.Self, s.Timer, s.Pool, s.Engine, s.Meter, s.Guard = o.Self.ID, p.Timer, p.Pool, p.Engine, p.Meter, n.Guard
+	s.Queue = ranker.New(func() [dragonflypass.RankCount]dragonflypass.RankPolicy { return n.Configurer.Current().Ranks })
+	s.Choice = placer.Least{}
+	s.Current, s.Leaving = n.Configurer.Current, n.Detector.Leaving
+	s.Lease, s.Lag = o.Lease, o.Lag
+	n.Scheduler = s
+
+	a := assigner.New()
+	a.Self, a.Live, a.Current, a.Own = o.Self.ID, n.Detector.Live, n.Configurer.Current, s.Own
+	n.Assigner = a
+
+	w := watcher.New()
+	w.Timer, w.Pool, w.Engine, w.Peers, w.Members = p.Timer, p.Pool, p.Engine, p.Peers, n.Detector
+	w.Scheduler, w.Guard, w.Meter, w.Logger, w.Period = s, n.Guard, p.Meter, p.Logger, o.Report
+	n.Watcher = w
+}
+
+func (n *Node) composeEntry() {
+	o, p := n.Options, n.Ports
+	d := dispatcher.New()
+	d.Self, d.Incarnation = o.Self, o.Incarnation
+	d.Timer, d.Pool, d.Peers, d.Engine, d.Meter = p.Timer, p.Pool, p.Peers, p.Engine, p.Meter
+	d.Owners, d.Local = n.Detector, n.Scheduler
+	d.Placement = &placer.TwoChoices{Random: rand.New(rand.NewPCG(o.Incarnation, 0))}
+	d.Admitter, d.Estimator, d.Retrier, d.Guard = n.Admitter, estimator.New(), n.Retrier, n.Guard
+	d.Current, d.Owner, d.Leaving = n.Configurer.Current, n.Assigner.Owner, n.Detector.Leaving
+	d.ZoneDelay = o.Delay
+	n.Dispatcher = d
+
+	c := claimer.New(o.Shards, o.Retention, o.Remember)
+	c.Self, c.Incarnation = o.Self.ID, o.Incarnation
+	c.Timer, c.Pool, c.Log, c.Meter, c.Logger, c.Poll = p.Timer, p.Pool, p.Log, p.Meter, p.Logger, o.Poll
+	n.Claimer = c
+
+	f := forwarder.New()
+	f.Zone, f.Timer, f.Caller, f.Meter = o.Self.Zone, p.Timer, p.Caller, p.Meter
+	f.Admitter, f.Retrier, f.Claimer = n.Admitter, n.Retrier, c
+	f.Current, f.Leaving = n.Configurer.Current, n.Detector.Leaving
+	n.Forwarder = f
+
+	n.Drainer = &drainer.Drainer{
+		Self: o.Self.ID, Timer: p.Timer, Logger: p.Logger, Current: n.Configurer.Current,
+		Leave: n.Detector.Leave, Recheck: n.Scheduler.Recheck, Busy: d.Open,
+	}
+}
+
+// connect sets what parts need of parts that are made after them.
+func (n *Node) connect() {
+	n.Detector.Config = func() dragonflypass.Offset { return n.Configurer.Current().Offset }
+	n.Detector.Loads = n.Scheduler.Loads
+	n.Detector.Held = n.Dispatcher.Held
+	n.Detector.Received = n.Scheduler.Heard
+	n.Detector.Subscribe(n.Assigner.Assign)
+	n.Configurer.Subscribe(func(*dragonflypass.Configuration) { n.Assigner.Assign() })
+}
+
+// Handler answers the other entry VMs.
+func (n *Node) Handler() dragonflypass.PeerHandler {
+	return &handler.Handler{Scheduler: n.Scheduler, Detector: n.Detector, Configurer: n.Configurer, Guard: n.Guard}
+}
+
+// Run runs the parts until ctx ends; the pool and the timer service must be running.
+func (n *Node) Run(ctx context.Context) {
+	n.Ports.Pool.Submit(dragonflypass.JobConfig, n.Configurer.Refresh)
+	var parts sync.WaitGroup
+	for _, run := range []func(context.Context){
+		n.Detector.Run, n.Configurer.Run, n.Scheduler.Run, n.Watcher.Run, n.Dispatcher.Run, n.Claimer.Run, n.Drainer.Run,
+	} {
+		parts.Go(func() { run(ctx) })
+	}
+	parts.Wait()
+}
+
+// Ready reports whether the node can serve: it has a configuration, is not
+// leaving, and each model has a server that some owner reported, or had the time to.
+func (n *Node) Ready() bool {
+	return !n.Detector.Leaving() && n.Configurer.Current().Offset > 0 && n.Dispatcher.Warm()
+}
--- a/core/configurer/configurer.go
+++ b/core/configurer/configurer.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"slices"
+	"sync/atomic"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -50,10 +51,12 @@
 	// Retention is the time for which the log keeps records.
 	Retention time.Duration
 
-	mutex   locker.Mutex
-	fold    *Fold
-	tail    []dragonflypass.Entry
-	current *dragonflypass.Configuration
+	// current never changes once stored, so that it is read without the lock.
+	current atomic.Pointer[dragonflypass.Configuration]
+
+	mutex locker.Mutex
+	fold  *Fold
+	tail  []dragonflypass.Entry
 	// changed is closed and replaced each time the configuration moves.
 	changed   chan struct{}
 	listeners []func(*dragonflypass.Configuration)
@@ -62,12 +65,13 @@
 
 // New returns a configurer with an empty configuration.
 func New() *Configurer {
-	return &Configurer{
+	c := &Configurer{
 		mutex:   locker.Mutex{Order: locker.Configuration},
 		fold:    NewFold(),
-		current: dragonflypass.NewConfiguration(0, nil),
 		changed: make(chan struct{}),
 	}
+	c.current.Store(dragonflypass.NewConfiguration(0, nil))
+	return c
 }
 
 // Subscribe registers a function that is called, outside all locks, after each move of the configuration.
@@ -79,9 +83,7 @@
 
 // Current returns the configuration in force.
 func (c *Configurer) Current() *dragonflypass.Configuration {
-	c.mutex.Lock()
-	defer c.mutex.Unlock()
-	return c.current
+	return c.current.Load()
 }
 
 // Run follows the stream until ctx ends.
@@ -184,11 +186,11 @@
 	c.keepTail(entries)
 	moved := c.fold.Offset() != before
 	if moved {
-		c.current = dragonflypass.NewConfiguration(c.fold.Offset(), c.fold.Items())
+		c.current.Store(dragonflypass.NewConfiguration(c.fold.Offset(), c.fold.Items()))
 		close(c.changed)
 		c.changed = make(chan struct{})
 	}
-	current, listeners := c.current, slices.Clone(c.listeners)
+	current, listeners := c.current.Load(), slices.Clone(c.listeners)
 	c.mutex.Unlock()
 	if !moved {
 		return
--- a/core/dispatcher/acquire.go
+++ b/core/dispatcher/acquire.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"github.com/dragonflypass/dragonflypass"
@@ -16,26 +17,79 @@
 	tokens int
 }
 
+const (
+	// serverWait is the time for which a request waits while no owner has a server for it, as after an owner's death.
+	serverWait = 5 * time.Second
+	// serverCheck is the time between two looks for such an owner.
+	serverCheck = 100 * time.Millisecond
+)
+
 // acquire gets a permit from one of the owners.
 func (d *Dispatcher) acquire(ctx context.Context, j *job) (dragonflypass.Permit, error) {
 	request := d.permitRequest(j)
-	owners := d.candidates(&request)
-	var last error = dragonflypass.Refuse(dragonflypass.ReasonNoServer, time.Second, "no backend server for model %q is up", request.Model)
+	owners, err := d.awaitOwners(ctx, &request)
+	if err != nil {
+		return dragonflypass.Permit{}, err
+	}
 	for i, owner := range owners {
 		if i == ownerTries {
 			break
 		}
-		permit, err := d.ask(ctx, owner, request)
-		if err == nil {
-			return permit, nil
+		var permit dragonflypass.Permit
+		permit, err = d.ask(ctx, owner, request)
+		if err == nil || ctx.Err() != nil {
+			return permit, err
 		}
-		if ctx.Err() != nil {
-			return dragonflypass.Permit{}, err
-		}
-		last = err
 		request.Stream = d.nextStream()
 	}
-	return dragonflypass.Permit{}, last
+	return dragonflypass.Permit{}, err
+}
+
+// awaitOwners returns the owners to ask, waiting a while for the first one.
+func (d *Dispatcher) awaitOwners(ctx context.Context, request *dragonflypass.PermitRequest) ([]dragonflypass.VM, error) {
+	until := d.Timer.Now().Add(serverWait)
+	if request.LatestStart.Before(until) {
+		until = request.LatestStart
+	}
+	for {
+		owners := d.candidates(request)
+		if len(owners) > 0 {
+			return owners, nil
+		}
+		if !d.Timer.Now().Before(until) || !d.fits(request) {
+			return nil, dragonflypass.Refuse(dragonflypass.ReasonNoServer, time.Second, "no backend server that fits is up for model %q", request.Model)
+		}
+		if !d.pause(ctx, serverCheck) {
+			return nil, context.Cause(ctx)
+		}
+	}
+}
+
+// fits reports whether a declared server could run the request at all.
+func (d *Dispatcher) fits(request *dragonflypass.PermitRequest) bool {
+	for _, server := range d.Current().ServersOf(request.Model) {
+		if server.Memory >= request.Tokens() && !slices.Contains(request.Exclude, server.ID) {
+			return true
+		}
+	}
+	return false
+}
+
+// warmTime is the time after its start from which a VM counts as warm in any case.
+const warmTime = 5 * time.Second
+
+// Warm reports whether every model has an owner with a server that is up, or that there was time enough to find one.
+func (d *Dispatcher) Warm() bool {
+	if d.Timer.Now().Sub(time.Unix(0, d.started.Load())) > warmTime {
+		return true
+	}
+	for model := range d.Current().Models {
+		request := &dragonflypass.PermitRequest{Model: model}
+		if len(d.candidates(request)) == 0 {
+			return false
+		}
+	}
+	return true
 }
 
 func (d *Dispatcher) nextStream() dragonflypass.StreamID {
@@ -54,6 +108,7 @@
 		PromptTokens:   r.PromptTokens + j.tokens,
 		OutputTokens:   max(1, r.OutputTokens-j.tokens),
 		ExpectedTokens: max(1, r.ExpectedTokens-j.tokens),
+		Pace:           d.Estimator.Pace(r.Model),
 		Fingerprint:    r.Fingerprint,
 		Deadline:       r.Deadline,
 		LatestStart:    d.latestStart(j, current),
--- a/core/dispatcher/dispatcher.go
+++ b/core/dispatcher/dispatcher.go
@@ -21,6 +21,8 @@
 var (
 	// errMoved ends a stream whose server is about to be taken down.
 	errMoved = eris.New("dispatcher: the backend server is about to be taken down")
+	// errStalled ends a stream that makes no progress.
+	errStalled = eris.New("dispatcher: the stream has stalled")
 	// errCaller ends a stream whose caller takes no more frames.
 	errCaller = eris.New("dispatcher: the caller has gone away")
 )
@@ -79,6 +81,8 @@
 	ZoneDelay time.Duration
 
 	sequence atomic.Uint64
+	// started is the instant of Run in nanoseconds since 1970.
+	started atomic.Int64
 
 	mutex locker.Mutex
 	held  map[dragonflypass.StreamID]*heldStream
@@ -97,6 +101,7 @@
 
 // Run looks after the open streams until ctx ends.
 func (d *Dispatcher) Run(ctx context.Context) {
+	d.started.Store(d.Timer.Now().UnixNano())
 	stop := d.Timer.Every(dragonflypass.JobSweep, sweepEvery, d.Sweep)
 	defer stop()
 	<-ctx.Done()
@@ -119,6 +124,8 @@
 	// sent is set once anything may have reached a backend server.
 	sent bool
 	last time.Time
+	// between is the time between the first and the last token.
+	between time.Duration
 }
 
 // Complete serves a request and passes its answer to the sink.
@@ -231,6 +238,9 @@
 		d.Meter.Add(dragonflypass.CountFinished, 1)
 		d.Meter.Observe(dragonflypass.MeasureWhole, j.request.Rank, j.request.Class(), d.Timer.Now().Sub(j.request.Arrived))
 		d.Estimator.Learn(j.request.Account, j.request.Model, len(j.request.Prompt), usage.PromptTokens, usage.OutputTokens)
+		if usage.OutputTokens > 1 {
+			d.Estimator.LearnPace(j.request.Model, j.between/time.Duration(usage.OutputTokens-1))
+		}
 		return
 	}
 	refusal, _ := dragonflypass.AsRefusal(err)
--- a/core/dispatcher/prepare.go
+++ b/core/dispatcher/prepare.go
@@ -12,6 +12,9 @@
 	defaultOutput = 1024
 	// windowMargin is the time kept between the end of a request and the VM's own window.
 	windowMargin = time.Second
+	// boundPrefillSlack and boundDecodeSlack multiply the predicted times of a request that must end before a window.
+	boundPrefillSlack = 2
+	boundDecodeSlack  = 1.25
 	// fallbackPrefill and fallbackDecode are rates in tokens a second for models without a known server.
 	fallbackPrefill = 10_000
 	fallbackDecode  = 30
@@ -113,17 +116,20 @@
 }
 
 // latestStart is the instant after which what is left of the request cannot end by its deadline.
+// A deadline set by the VM's window must not cut the answer, so its longest and slowest is allowed for.
 func (d *Dispatcher) latestStart(j *job, current *dragonflypass.Configuration) time.Time {
 	prefill, decode := rates(current, j.request.Model)
-	output := j.request.ExpectedTokens
-	if j.bounded {
-		output = j.request.OutputTokens
+	first := seconds(float64(j.request.PromptTokens+j.tokens) / prefill)
+	if !j.bounded {
+		return j.request.Deadline.Add(-first - seconds(float64(max(0, j.request.ExpectedTokens-j.tokens))/decode))
 	}
-	prompt := j.request.PromptTokens + j.tokens
-	seconds := float64(prompt)/prefill + float64(max(0, output-j.tokens))/decode
-	return j.request.Deadline.Add(-time.Duration(seconds * float64(time.Second)))
+	left := max(0, j.request.OutputTokens-j.tokens)
+	rest := max(seconds(float64(left)/decode), time.Duration(left)*d.Estimator.Pace(j.request.Model))
+	return j.request.Deadline.Add(-boundPrefillSlack*first - time.Duration(boundDecodeSlack*float64(rest)))
 }
 
+func seconds(value float64) time.Duration { return time.Duration(value * float64(time.Second)) }
+
 // target is the instant by which the first token is due: the rank's target, longer in proportion for long prompts.
 func target(request *dragonflypass.Request, policy dragonflypass.RankPolicy) time.Time {
 	scale := max(1, float64(request.PromptTokens)/float64(dragonflypass.ClassBounds[dragonflypass.ClassShort]))
--- a/core/dispatcher/stream.go
+++ b/core/dispatcher/stream.go
@@ -11,6 +11,10 @@
 const (
 	// moveLead is the time before a server's window at which its streams are moved.
 	moveLead = 3 * time.Second
+	// stallTime is the time without a frame after which a stream counts as stalled.
+	stallTime = 5 * time.Second
+	// prefillPatience multiplies the predicted prompt processing time that is added before the first frame.
+	prefillPatience = 4
 	// cancelTimeout bounds one cancellation at a server.
 	cancelTimeout = time.Second
 	// releaseTimeout bounds one attempt to return a permit.
@@ -25,6 +29,10 @@
 	owner dragonflypass.VMID
 	// move ends the stream so that the request goes on elsewhere.
 	move context.CancelCauseFunc
+	// progress is the instant of the last frame, or of the grant.
+	progress time.Time
+	// patience is the time without a frame after which the stream counts as stalled.
+	patience time.Duration
 }
 
 // stream runs one attempt under the permit and returns the permit on every path.
@@ -43,10 +51,15 @@
 		Outcome:      d.outcome(ctx, permit, err),
 	}
 	d.release(permit.Owner, release)
-	if errors.Is(context.Cause(ctx), errMoved) {
+	switch cause := context.Cause(ctx); {
+	case err == nil:
+		return r.usage, nil
+	case errors.Is(cause, errMoved):
 		return dragonflypass.Usage{}, errMoved
+	case errors.Is(cause, errStalled):
+		return dragonflypass.Usage{}, dragonflypass.ErrBroken
 	}
-	return r.usage, err
+	return dragonflypass.Usage{}, err
 }
 
 // run streams, and takes the stream up again once when only the connection broke.
@@ -154,6 +167,7 @@
 		j.delivered.WriteString(frame.Text)
 		j.tokens += frame.Tokens
 		r.dispatcher.observe(j, frame.Tokens)
+		r.dispatcher.progressed(r.stream)
 	}
 	if err := j.sink.Accept(frame); err != nil {
 		return errCaller
@@ -167,18 +181,24 @@
 	if j.last.IsZero() {
 		d.Meter.Observe(dragonflypass.MeasureFirstToken, j.request.Rank, j.request.Class(), now.Sub(j.request.Arrived))
 	} else {
-		d.Meter.Observe(dragonflypass.MeasureBetween, j.request.Rank, j.request.Class(), now.Sub(j.last)/time.Duration(max(1, tokens)))
+		span := now.Sub(j.last) / time.Duration(max(1, tokens))
+		d.Meter.Observe(dragonflypass.MeasureBetween, j.request.Rank, j.request.Class(), span)
+		j.between += span * time.Duration(tokens)
 	}
 	j.last = now
 	d.Meter.Add(dragonflypass.CountTokens, int64(tokens))
 }
 
 func (d *Dispatcher) hold(j *job, permit dragonflypass.Permit, move context.CancelCauseFunc) {
+	prefill, _ := rates(d.Current(), j.request.Model)
+	prompt := time.Duration(float64(j.request.PromptTokens+j.tokens) / prefill * float64(time.Second))
 	d.mutex.Lock()
 	defer d.mutex.Unlock()
 	d.held[permit.Stream] = &heldStream{
-		owner: permit.Owner,
-		move:  move,
+		owner:    permit.Owner,
+		move:     move,
+		progress: d.Timer.Now(),
+		patience: stallTime + prefillPatience*prompt,
 		held: dragonflypass.HeldStream{
 			Stream: permit.Stream, Server: permit.Server, Tokens: j.request.Tokens(),
 			Fingerprint: j.request.Fingerprint, Rank: j.request.Rank, Account: j.request.Account, Deadline: j.request.Deadline,
@@ -186,6 +206,16 @@
 	}
 }
 
+// progressed notes that a frame of the stream has come.
+func (d *Dispatcher) progressed(stream dragonflypass.StreamID) {
+	now := d.Timer.Now()
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	if h, ok := d.held[stream]; ok {
+		h.progress, h.patience = now, stallTime
+	}
+}
+
 func (d *Dispatcher) unhold(stream dragonflypass.StreamID) {
 	d.mutex.Lock()
 	defer d.mutex.Unlock()
@@ -216,21 +246,29 @@
 	return len(d.held)
 }
 
-// Sweep claims this VM's own streams and moves those whose server is about to be taken down.
+// Sweep claims this VM's own streams, and ends those that stalled or whose
+// server is about to be taken down, so that their requests go on elsewhere.
 func (d *Dispatcher) Sweep(context.Context) {
 	d.Local.Heard(dragonflypass.Heartbeat{From: d.Self, Incarnation: d.Incarnation, Held: d.Held(d.Self.ID)})
 	now := d.Timer.Now()
 	current := d.Current()
+	type end struct {
+		move  context.CancelCauseFunc
+		cause error
+	}
+	var ends []end
 	d.mutex.Lock()
-	var moves []context.CancelCauseFunc
 	for _, h := range d.held {
 		closing := current.Closing(string(h.held.Server), now)
-		if !closing.IsZero() && closing.Sub(now) <= moveLead {
-			moves = append(moves, h.move)
+		switch {
+		case !closing.IsZero() && closing.Sub(now) <= moveLead:
+			ends = append(ends, end{move: h.move, cause: errMoved})
+		case now.Sub(h.progress) > h.patience:
+			ends = append(ends, end{move: h.move, cause: errStalled})
 		}
 	}
 	d.mutex.Unlock()
-	for _, move := range moves {
-		move(errMoved)
+	for _, e := range ends {
+		e.move(e.cause)
 	}
 }
--- a/core/estimator/estimator.go
+++ b/core/estimator/estimator.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"time"
 
 	"github.com/dragonflypass/dragonflypass"
 	"github.com/dragonflypass/dragonflypass/core/locker"
@@ -27,6 +28,13 @@
 type Estimator struct {
 	mutex locker.Mutex
 	rows  map[key]*row
+	paces map[dragonflypass.ModelID]*pace
+}
+
+// pace is the time for each generated token, with its mean deviation.
+type pace struct {
+	mean      float64
+	deviation float64
 }
 
 type key struct {
@@ -42,7 +50,7 @@
 
 // New returns an estimator that has learned nothing.
 func New() *Estimator {
-	return &Estimator{mutex: locker.Mutex{Order: locker.Accounts}, rows: make(map[key]*row)}
+	return &Estimator{mutex: locker.Mutex{Order: locker.Accounts}, rows: make(map[key]*row), paces: make(map[dragonflypass.ModelID]*pace)}
 }
 
 // Tokens estimates the tokens in a text of the given number of bytes.
@@ -88,3 +96,27 @@
 	r.deviation += learnRate * (math.Abs(float64(output)-r.output) - r.deviation)
 	r.output += learnRate * (float64(output) - r.output)
 }
+
+// Pace returns the time for each generated token of the model, leaning to the slow side; zero when nothing is known.
+func (e *Estimator) Pace(model dragonflypass.ModelID) time.Duration {
+	e.mutex.Lock()
+	defer e.mutex.Unlock()
+	p, ok := e.paces[model]
+	if !ok {
+		return 0
+	}
+	return time.Duration(p.mean + deviations*p.deviation)
+}
+
+// LearnPace takes in the mean time for each generated token of one answer.
+func (e *Estimator) LearnPace(model dragonflypass.ModelID, span time.Duration) {
+	e.mutex.Lock()
+	defer e.mutex.Unlock()
+	p, ok := e.paces[model]
+	if !ok {
+		e.paces[model] = &pace{mean: float64(span)}
+		return
+	}
+	p.deviation += learnRate * (math.Abs(float64(span)-p.mean) - p.deviation)
+	p.mean += learnRate * (float64(span) - p.mean)
+}
--- a/core/scheduler/server.go
+++ b/core/scheduler/server.go
@@ -16,6 +16,8 @@
 	closingStop = 5 * time.Second
 	// prefillSlack multiplies the predicted prompt processing time before a window.
 	prefillSlack = 2
+	// decodeSlack multiplies the predicted generation time before a window.
+	decodeSlack = 1.25
 	// longShare is the part of a server's prompt processing left to a long prompt beside short ones.
 	longShare = 0.25
 	// rateHalfLife is the time in which prompt tokens once granted count half in the observed rate.
@@ -73,7 +75,8 @@
 	if s.closing.IsZero() {
 		return false
 	}
-	end := now.Add(prefillSlack*s.prefill(request.PromptTokens) + s.decode(request.OutputTokens) + closingMargin)
+	decode := time.Duration(decodeSlack * float64(max(s.decode(request.OutputTokens), time.Duration(request.OutputTokens)*request.Pace)))
+	end := now.Add(prefillSlack*s.prefill(request.PromptTokens) + decode + closingMargin)
 	return now.Add(closingStop).After(s.closing) || end.After(s.closing)
 }
 
--- /dev/null
+++ b/internal/fake/log.go
@@ -0,0 +1,196 @@
+package fake
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/dragonflypass/dragonflypass"
+)
+
+// Log is a platform log in memory with the platform's faults.
+type Log struct {
+	// Retention is the time for which records are kept, zero for always.
+	Retention time.Duration
+	// Latency is the time that each call takes.
+	Latency time.Duration
+
+	mutex   sync.Mutex
+	streams map[dragonflypass.Stream]*logStream
+	down    bool
+	lose    int
+	late    time.Duration
+	appends int
+}
+
+type logStream struct {
+	first   dragonflypass.Offset
+	entries []dragonflypass.Entry
+}
+
+// NewLog returns a log with empty streams.
+func NewLog() *Log { return &Log{streams: make(map[dragonflypass.Stream]*logStream)} }
+
+// SetDown makes every call fail before it takes effect, or work again.
+func (l *Log) SetDown(down bool) {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	l.down = down
+}
+
+// Lose has the answers of the next n appends lost after they took effect.
+func (l *Log) Lose(n int) {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	l.lose = n
+}
+
+// Late has the next append take effect only after the span, its answer lost at once.
+func (l *Log) Late(span time.Duration) {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	l.late = span
+}
+
+// Appends returns the number of records added.
+func (l *Log) Appends() int {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	return l.appends
+}
+
+func (l *Log) stream(name dragonflypass.Stream) *logStream {
+	s, ok := l.streams[name]
+	if !ok {
+		s = &logStream{first: 1}
+		l.streams[name] = s
+	}
+	return s
+}
+
+func (s *logStream) next() dragonflypass.Offset {
+	return s.first + dragonflypass.Offset(len(s.entries))
+}
+
+// Append adds the record and returns its offset.
+func (l *Log) Append(ctx context.Context, name dragonflypass.Stream, record dragonflypass.Record) (dragonflypass.Offset, error) {
+	if err := wait(ctx, l.Latency); err != nil {
+		return 0, dragonflypass.ErrUncertain
+	}
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	if l.down {
+		return 0, dragonflypass.ErrUnavailable
+	}
+	if l.late > 0 {
+		time.AfterFunc(l.late, func() {
+			l.mutex.Lock()
+			defer l.mutex.Unlock()
+			l.add(name, record)
+		})
+		l.late = 0
+		return 0, dragonflypass.ErrUncertain
+	}
+	offset := l.add(name, record)
+	if l.lose > 0 {
+		l.lose--
+		return 0, dragonflypass.ErrUncertain
+	}
+	return offset, nil
+}
+
+// add is called with the mutex held.
+func (l *Log) add(name dragonflypass.Stream, record dragonflypass.Record) dragonflypass.Offset {
+	s := l.stream(name)
+	offset := s.next()
+	s.entries = append(s.entries, dragonflypass.Entry{Offset: offset, At: time.Now(), Record: record})
+	l.appends++
+	return offset
+}
+
+// Read returns up to limit entries from the offset on.
+func (l *Log) Read(ctx context.Context, name dragonflypass.Stream, from dragonflypass.Offset, limit int) (dragonflypass.Page, error) {
+	if err := wait(ctx, l.Latency); err != nil {
+		return dragonflypass.Page{}, dragonflypass.ErrUnavailable
+	}
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	if l.down {
+		return dragonflypass.Page{}, dragonflypass.ErrUnavailable
+	}
+	s := l.stream(name)
+	l.trim(s)
+	page := dragonflypass.Page{First: s.first, Next: s.next()}
+	if from < s.first {
+		return page, dragonflypass.ErrTrimmed
+	}
+	if from < s.next() {
+		start := int(from - s.first)
+		page.Entries = append(page.Entries, s.entries[start:min(len(s.entries), start+limit)]...)
+	}
+	return page, nil
+}
+
+func (l *Log) trim(s *logStream) {
+	for l.Retention > 0 && len(s.entries) > 0 && time.Since(s.entries[0].At) > l.Retention {
+		s.entries = s.entries[1:]
+		s.first++
+	}
+}
+
+// wait lets the span pass unless ctx ends first.
+func wait(ctx context.Context, span time.Duration) error {
+	if span == 0 {
+		return ctx.Err()
+	}
+	timer := time.NewTimer(span)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
+// Reach is one VM's way to the log, which can be cut.
+type Reach struct {
+	Log *Log
+
+	mutex sync.Mutex
+	cut   bool
+}
+
+// SetCut cuts the way or mends it.
+func (r *Reach) SetCut(cut bool) {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	r.cut = cut
+}
+
+func (r *Reach) isCut() bool {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	return r.cut
+}
+
+// Append adds the record unless the way is cut.
+func (r *Reach) Append(ctx context.Context, name dragonflypass.Stream, record dragonflypass.Record) (dragonflypass.Offset, error) {
+	if r.isCut() {
+		return 0, dragonflypass.ErrUnavailable
+	}
+	return r.Log.Append(ctx, name, record)
+}
+
+// Read returns entries unless the way is cut.
+func (r *Reach) Read(ctx context.Context, name dragonflypass.Stream, from dragonflypass.Offset, limit int) (dragonflypass.Page, error) {
+	if r.isCut() {
+		return dragonflypass.Page{}, dragonflypass.ErrUnavailable
+	}
+	return r.Log.Read(ctx, name, from, limit)
+}
+
+var (
+	_ dragonflypass.Log = (*Log)(nil)
+	_ dragonflypass.Log = (*Reach)(nil)
+)
--- a/permit.go
+++ b/permit.go
@@ -18,7 +18,9 @@
 	OutputTokens int
 	// ExpectedTokens is the number of tokens that is likely to be generated.
 	ExpectedTokens int
-	Fingerprint    Fingerprint
+	// Pace is the time for each generated token as observed lately, leaning to the slow side.
+	Pace        time.Duration
+	Fingerprint Fingerprint
 	Deadline       time.Time
 	// LatestStart is the instant after which the request cannot end by its deadline.
 	LatestStart time.Time
--- a/standin/generator/answer.go
+++ b/standin/generator/answer.go
@@ -11,10 +11,15 @@
 	// shortestAnswer and answerSpread bound the length of made-up answers in tokens.
 	shortestAnswer = 8
 	answerSpread   = 56
+	// LongWord in a prompt makes its answer as long as the limit allows.
+	LongWord = "<long>"
 )
 
 // AnswerLength returns the number of tokens in the answer to the prompt, within the limit.
 func AnswerLength(prompt string, limit int) int {
+	if strings.Contains(prompt, LongWord) {
+		return limit
+	}
 	return min(limit, shortestAnswer+int(xxhash.Sum64String(prompt)%answerSpread))
 }
 
--- a/standin/generator/engine.go
+++ b/standin/generator/engine.go
@@ -366,3 +366,20 @@
 	}
 	return true
 }
+
+// Down reports whether the engine has died.
+func (e *Engine) Down() bool {
+	e.mutex.Lock()
+	defer e.mutex.Unlock()
+	return e.down
+}
+
+// Dying reports whether the prompt makes the engine die.
+func (e *Engine) Dying(prompt string) bool { return strings.Contains(prompt, crashWord) }
+
+// SetLag sets the age of the reports.
+func (e *Engine) SetLag(lag time.Duration) {
+	e.mutex.Lock()
+	defer e.mutex.Unlock()
+	e.Lag = lag
+}
