--- a/core/composer/composer_test.go
+++ b/core/composer/composer_test.go
@@ -22,9 +22,16 @@
 
 // withSite runs the test in virtual time on a site that is up.
 func withSite(t *testing.T, nodes, servers int, test func(c *qt.C, s *fake.Site)) {
+	t.Helper()
+	synctestSite(t, nodes, servers, func(*fake.Site) {}, test)
+}
+
+// synctestSite runs the test in virtual time on a site that is prepared before it starts.
+func synctestSite(t *testing.T, nodes, servers int, prepare func(*fake.Site), test func(c *qt.C, s *fake.Site)) {
 	t.Helper()
 	synctest.Test(t, func(t *testing.T) {
 		s := fake.NewSite(t.Context(), nodes, servers)
+		prepare(s)
 		s.Start()
 		test(qt.New(t), s)
 	})
--- /dev/null
+++ b/core/composer/config_test.go
@@ -0,0 +1,198 @@
+package composer_test
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/dragonflypass/dragonflypass"
+	"github.com/dragonflypass/dragonflypass/core/composer"
+	"github.com/dragonflypass/dragonflypass/internal/fake"
+)
+
+var modelKey = dragonflypass.ItemKey{Section: dragonflypass.SectionModel, Name: string(fake.SiteModel)}
+
+// modelEdit gives the model another version.
+func modelEdit(base dragonflypass.Offset, version string) dragonflypass.Edit {
+	item := dragonflypass.Item{Model: &dragonflypass.Model{ID: fake.SiteModel, Version: version, Limit: 1_000_000}}
+	return dragonflypass.Edit{Key: modelKey, Base: base, Item: &item}
+}
+
+func rankEdit(name string, floor float64) dragonflypass.Edit {
+	key := dragonflypass.ItemKey{Section: dragonflypass.SectionRank, Name: name}
+	item := dragonflypass.Item{Rank: &dragonflypass.RankPolicy{First: time.Second, Within: time.Minute, Floor: floor}}
+	return dragonflypass.Edit{Key: key, Item: &item}
+}
+
+// version is the model's version in force on the node.
+func version(s *fake.Site, node int) string {
+	return s.Nodes[node].Configurer.Current().Models[fake.SiteModel].Version
+}
+
+// awaitForce waits until the version is in force on the nodes and returns how long that took.
+func awaitForce(c *qt.C, s *fake.Site, wanted string, limit time.Duration, nodes ...int) time.Duration {
+	c.Helper()
+	begun := time.Now()
+	for {
+		late := -1
+		for _, node := range nodes {
+			if version(s, node) != wanted {
+				late = node
+			}
+		}
+		if late < 0 {
+			return time.Since(begun)
+		}
+		c.Assert(time.Since(begun) <= limit, qt.IsTrue, qt.Commentf("not in force on node %d after %s", late, limit))
+		time.Sleep(50 * time.Millisecond)
+	}
+}
+
+func all(s *fake.Site) []int {
+	nodes := make([]int, len(s.Nodes))
+	for i := range nodes {
+		nodes[i] = i
+	}
+	return nodes
+}
+
+// raceEdits has two operators submit at the same time.
+func raceEdits(s *fake.Site, first, second dragonflypass.Edit) (a, b dragonflypass.Verdict) {
+	var both sync.WaitGroup
+	both.Go(func() { a, _ = s.Apply(0, "a", first) })
+	both.Go(func() { b, _ = s.Apply(1, "b", second) })
+	both.Wait()
+	return a, b
+}
+
+func TestOperatorsRaceOnOneItem(t *testing.T) {
+	withSite(t, 3, 1, func(c *qt.C, s *fake.Site) {
+		base := s.Base(0, modelKey)
+		a, b := raceEdits(s, modelEdit(base, "a"), modelEdit(base, "b"))
+		c.Assert(a.Accepted != b.Accepted, qt.IsTrue, qt.Commentf("%+v %+v", a, b))
+		winner, loser, wanted := a, b, "a"
+		if b.Accepted {
+			winner, loser, wanted = b, a, "b"
+		}
+		c.Check(loser.Conflict, qt.Equals, modelKey)
+		c.Check(loser.Winner, qt.Equals, winner.Offset)
+		awaitForce(c, s, wanted, 5*time.Second, all(s)...)
+	})
+}
+
+func TestOperatorsOnDifferentItems(t *testing.T) {
+	withSite(t, 3, 1, func(c *qt.C, s *fake.Site) {
+		a, b := raceEdits(s, modelEdit(s.Base(0, modelKey), "a"), rankEdit("bulk", 0.3))
+		c.Check(a.Accepted, qt.IsTrue)
+		c.Check(b.Accepted, qt.IsTrue)
+		awaitForce(c, s, "a", 5*time.Second, all(s)...)
+		c.Check(s.Nodes[2].Configurer.Current().Ranks[dragonflypass.RankBulk].Floor, qt.Equals, 0.3)
+	})
+}
+
+func TestAppendAnswerLost(t *testing.T) {
+	withSite(t, 3, 1, func(c *qt.C, s *fake.Site) {
+		s.Log.Lose(3)
+		verdict, err := s.Apply(0, "lost", modelEdit(s.Base(0, modelKey), "2"))
+		c.Assert(err, qt.IsNil)
+		c.Check(verdict.Accepted, qt.IsTrue)
+		awaitForce(c, s, "2", 5*time.Second, all(s)...)
+		c.Check(s.Base(1, modelKey), qt.Equals, verdict.Offset)
+	})
+}
+
+func TestLogDownAtBoot(t *testing.T) {
+	withSite(t, 4, 1, func(c *qt.C, s *fake.Site) {
+		_, err := s.Apply(0, "second", modelEdit(s.Base(0, modelKey), "2"))
+		c.Assert(err, qt.IsNil)
+		awaitForce(c, s, "2", 5*time.Second, all(s)...)
+		s.Kill(3)
+		s.Log.SetDown(true)
+		s.StartNode(3)
+		time.Sleep(5 * time.Second)
+		c.Check(version(s, 3), qt.Equals, "2")
+		_, err = s.Apply(0, "third", modelEdit(s.Base(0, modelKey), "3"))
+		c.Check(err, qt.ErrorMatches, ".*did not reach the log.*")
+		s.Log.SetDown(false)
+	})
+}
+
+func TestZoneCutOffFromThePlatform(t *testing.T) {
+	withSite(t, 6, 1, func(c *qt.C, s *fake.Site) {
+		s.Nodes[2].Reach.SetCut(true)
+		s.Nodes[5].Reach.SetCut(true)
+		verdict, err := s.Apply(0, "second", modelEdit(s.Base(0, modelKey), "2"))
+		c.Assert(err, qt.IsNil)
+		c.Check(verdict.Accepted, qt.IsTrue)
+		awaitForce(c, s, "2", 5*time.Second, all(s)...)
+	})
+}
+
+func TestOlderCopyOfTheLogRevertsNothing(t *testing.T) {
+	withSite(t, 2, 1, func(c *qt.C, s *fake.Site) {
+		_, err := s.Apply(0, "second", modelEdit(s.Base(0, modelKey), "2"))
+		c.Assert(err, qt.IsNil)
+		s.Log.SetOlder(1)
+		time.Sleep(5 * time.Second)
+		c.Check(version(s, 0), qt.Equals, "2")
+		s.Log.SetOlder(0)
+		_, err = s.Apply(1, "third", modelEdit(s.Base(0, modelKey), "3"))
+		c.Assert(err, qt.IsNil)
+		awaitForce(c, s, "3", 5*time.Second, 0, 1)
+	})
+}
+
+// TestConfigurationOutlivesRetention lets the log drop every record but snapshots, and boots a node from them.
+func TestConfigurationOutlivesRetention(t *testing.T) {
+	const retention = time.Hour
+	synctestSite(t, 3, 0, func(s *fake.Site) {
+		s.Log.Retention = retention
+		s.Options = func(o *composer.Options) { o.Retention, o.Heartbeat, o.Poll = retention, 5*time.Second, 5*time.Second }
+	}, func(c *qt.C, s *fake.Site) {
+		_, err := s.Apply(0, "second", modelEdit(s.Base(0, modelKey), "2"))
+		c.Assert(err, qt.IsNil)
+		for range 6 {
+			time.Sleep(retention / 2)
+		}
+		page, err := s.Log.Read(context.Background(), dragonflypass.StreamConfig, 1, 10)
+		c.Assert(err, qt.Equals, dragonflypass.ErrTrimmed)
+		c.Assert(page.First > 2, qt.IsTrue)
+		for i := range s.Nodes {
+			s.Kill(i)
+		}
+		s.StartNode(2)
+		time.Sleep(10 * time.Second)
+		c.Check(version(s, 2), qt.Equals, "2")
+		verdict, err := s.Apply(2, "third", modelEdit(s.Base(2, modelKey), "3"))
+		c.Assert(err, qt.IsNil)
+		c.Check(verdict.Accepted, qt.IsTrue)
+	})
+}
+
+func TestInForceOnNineNodes(t *testing.T) {
+	withSite(t, 9, 9, func(c *qt.C, s *fake.Site) {
+		for i := range 5 {
+			wanted := fmt.Sprintf("v%d", i)
+			_, err := s.Apply(i, wanted, modelEdit(s.Base(i, modelKey), wanted))
+			c.Assert(err, qt.IsNil)
+			awaitForce(c, s, wanted, 5*time.Second, all(s)...)
+		}
+	})
+}
+
+func TestInForceOnManyNodes(t *testing.T) {
+	if testing.Short() {
+		t.Skip("410 nodes take a while")
+	}
+	withSite(t, 410, 0, func(c *qt.C, s *fake.Site) {
+		time.Sleep(20 * time.Second)
+		_, err := s.Apply(7, "many", modelEdit(s.Base(7, modelKey), "many"))
+		c.Assert(err, qt.IsNil)
+		took := awaitForce(c, s, "many", 16*time.Second, all(s)...)
+		c.Logf("in force on %d nodes after %s", len(s.Nodes), took)
+	})
+}
--- a/core/composer/leaving_test.go
+++ b/core/composer/leaving_test.go
@@ -53,7 +53,7 @@
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
 			withSite(t, 4, 4, func(c *qt.C, s *fake.Site) {
-				s.Directory.Lag = time.Minute
+				s.Directory.SetLag(time.Minute)
 				stop := load(s, 1, 2, 3)
 				time.Sleep(3 * time.Second)
 				test.fault(s)
@@ -84,7 +84,7 @@
 // TestVMReturns has a VM come back, while the list still calls it leaving, and get work again.
 func TestVMReturns(t *testing.T) {
 	withSite(t, 3, 3, func(c *qt.C, s *fake.Site) {
-		s.Directory.Lag = time.Minute
+		s.Directory.SetLag(time.Minute)
 		s.Nodes[0].Drainer.Start(s.Context)
 		time.Sleep(2 * time.Second)
 		s.Kill(0)
--- a/core/dispatcher/stream.go
+++ b/core/dispatcher/stream.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"sync/atomic"
 	"time"
 
 	"github.com/dragonflypass/dragonflypass"
@@ -29,20 +30,18 @@
 	owner dragonflypass.VMID
 	// move ends the stream so that the request goes on elsewhere.
 	move context.CancelCauseFunc
-	// progress is the instant of the last frame, or of the grant.
-	progress time.Time
-	// patience is the time without a frame after which the stream counts as stalled.
-	patience time.Duration
+	// stalls is the instant, in nanoseconds since 1970, at which the stream counts as stalled without a further frame.
+	stalls atomic.Int64
 }
 
 // stream runs one attempt under the permit and returns the permit on every path.
 func (d *Dispatcher) stream(ctx context.Context, j *job, permit dragonflypass.Permit) (dragonflypass.Usage, error) {
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
-	d.hold(j, permit, cancel)
+	open := d.hold(j, permit, cancel)
 	defer d.unhold(permit.Stream)
 	before := j.tokens
-	r := &reader{dispatcher: d, job: j, stream: permit.Stream}
+	r := &reader{dispatcher: d, job: j, stream: permit.Stream, open: open}
 	err := d.run(ctx, j, permit, r)
 	release := dragonflypass.PermitRelease{
 		Stream:       permit.Stream,
@@ -145,6 +144,7 @@
 	dispatcher *Dispatcher
 	job        *job
 	stream     dragonflypass.StreamID
+	open       *heldStream
 	attempt    int
 	usage      dragonflypass.Usage
 	ended      bool
@@ -167,7 +167,7 @@
 		j.delivered.WriteString(frame.Text)
 		j.tokens += frame.Tokens
 		r.dispatcher.observe(j, frame.Tokens)
-		r.dispatcher.progressed(r.stream)
+		r.open.stalls.Store(j.last.Add(stallTime).UnixNano())
 	}
 	if err := j.sink.Accept(frame); err != nil {
 		return errCaller
@@ -189,31 +189,22 @@
 	d.Meter.Add(dragonflypass.CountTokens, int64(tokens))
 }
 
-func (d *Dispatcher) hold(j *job, permit dragonflypass.Permit, move context.CancelCauseFunc) {
+func (d *Dispatcher) hold(j *job, permit dragonflypass.Permit, move context.CancelCauseFunc) *heldStream {
 	prefill, _ := rates(d.Current(), j.request.Model)
 	prompt := time.Duration(float64(j.request.PromptTokens+j.tokens) / prefill * float64(time.Second))
-	d.mutex.Lock()
-	defer d.mutex.Unlock()
-	d.held[permit.Stream] = &heldStream{
-		owner:    permit.Owner,
-		move:     move,
-		progress: d.Timer.Now(),
-		patience: stallTime + prefillPatience*prompt,
+	h := &heldStream{
+		owner: permit.Owner,
+		move:  move,
 		held: dragonflypass.HeldStream{
 			Stream: permit.Stream, Server: permit.Server, Tokens: j.request.Tokens(),
 			Fingerprint: j.request.Fingerprint, Rank: j.request.Rank, Account: j.request.Account, Deadline: j.request.Deadline,
 		},
 	}
-}
-
-// progressed notes that a frame of the stream has come.
-func (d *Dispatcher) progressed(stream dragonflypass.StreamID) {
-	now := d.Timer.Now()
+	h.stalls.Store(d.Timer.Now().Add(stallTime + prefillPatience*prompt).UnixNano())
 	d.mutex.Lock()
 	defer d.mutex.Unlock()
-	if h, ok := d.held[stream]; ok {
-		h.progress, h.patience = now, stallTime
-	}
+	d.held[permit.Stream] = h
+	return h
 }
 
 func (d *Dispatcher) unhold(stream dragonflypass.StreamID) {
@@ -263,7 +254,7 @@
 		switch {
 		case !closing.IsZero() && closing.Sub(now) <= moveLead:
 			ends = append(ends, end{move: h.move, cause: errMoved})
-		case now.Sub(h.progress) > h.patience:
+		case now.UnixNano() > h.stalls.Load():
 			ends = append(ends, end{move: h.move, cause: errStalled})
 		}
 	}
--- a/core/locker/locker.go
+++ b/core/locker/locker.go
@@ -1,12 +1,11 @@
 package locker
 
 import (
-	"bytes"
 	"fmt"
-	"runtime"
-	"strconv"
 	"sync"
 	"sync/atomic"
+
+	"github.com/petermattis/goid"
 )
 
 // Order is a table's place in the lock order; a goroutine takes locks in rising order only.
@@ -55,14 +54,14 @@
 var (
 	checking atomic.Bool
 	heldLock sync.Mutex
-	held     = make(map[uint64][]Order)
+	held     = make(map[int64][]Order)
 )
 
 // Check turns the checking of the lock order on; it is meant for tests, before any lock is taken.
 func Check() { checking.Store(true) }
 
 func register(order Order) {
-	id := goroutineID()
+	id := goid.Get()
 	heldLock.Lock()
 	defer heldLock.Unlock()
 	orders := held[id]
@@ -73,7 +72,7 @@
 }
 
 func unregister(order Order) {
-	id := goroutineID()
+	id := goid.Get()
 	heldLock.Lock()
 	defer heldLock.Unlock()
 	orders := held[id]
@@ -89,15 +88,3 @@
 	}
 	held[id] = orders
 }
-
-// goroutineID parses the first line of the stack, "goroutine 18 [running]:".
-func goroutineID() uint64 {
-	var buffer [64]byte
-	line := buffer[:runtime.Stack(buffer[:], false)]
-	fields := bytes.Fields(line)
-	id, err := strconv.ParseUint(string(fields[1]), 10, 64)
-	if err != nil {
-		panic("locker: no goroutine number in " + string(line))
-	}
-	return id
-}
--- a/internal/fake/engines.go
+++ b/internal/fake/engines.go
@@ -73,6 +73,13 @@
 	e.engines[address] = engine
 }
 
+// SetMangle sets what changes the frames of streams, nil for nothing.
+func (e *Engines) SetMangle(mangle func(dragonflypass.EngineCall, dragonflypass.Frame) []dragonflypass.Frame) {
+	e.mutex.Lock()
+	defer e.mutex.Unlock()
+	e.Mangle = mangle
+}
+
 // Streams returns the number of calls that reached an engine.
 func (e *Engines) Streams() int {
 	e.mutex.Lock()
--- a/internal/fake/log.go
+++ b/internal/fake/log.go
@@ -20,6 +20,7 @@
 	down    bool
 	lose    int
 	late    time.Duration
+	older   int
 	appends int
 }
 
@@ -45,6 +46,13 @@
 	l.lose = n
 }
 
+// SetOlder has reads served from a copy that ends so many records before the newest, zero for the newest.
+func (l *Log) SetOlder(records int) {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	l.older = records
+}
+
 // Late has the next append take effect only after the span, its answer lost at once.
 func (l *Log) Late(span time.Duration) {
 	l.mutex.Lock()
@@ -120,13 +128,14 @@
 	}
 	s := l.stream(name)
 	l.trim(s)
-	page := dragonflypass.Page{First: s.first, Next: s.next()}
+	kept := s.entries[:max(0, len(s.entries)-l.older)]
+	page := dragonflypass.Page{First: s.first, Next: s.first + dragonflypass.Offset(len(kept))}
 	if from < s.first {
 		return page, dragonflypass.ErrTrimmed
 	}
-	if from < s.next() {
+	if from < page.Next {
 		start := int(from - s.first)
-		page.Entries = append(page.Entries, s.entries[start:min(len(s.entries), start+limit)]...)
+		page.Entries = append(page.Entries, kept[start:min(len(kept), start+limit)]...)
 	}
 	return page, nil
 }
--- a/internal/fake/network.go
+++ b/internal/fake/network.go
@@ -188,6 +188,13 @@
 
 var _ dragonflypass.Directory = (*Directory)(nil)
 
+// SetLag sets the time by which the list trails.
+func (d *Directory) SetLag(lag time.Duration) {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	d.Lag = lag
+}
+
 // Set replaces the list, which shows after the lag.
 func (d *Directory) Set(vms []dragonflypass.PlatformVM) {
 	d.mutex.Lock()
--- a/permit.go
+++ b/permit.go
@@ -21,7 +21,7 @@
 	// Pace is the time for each generated token as observed lately, leaning to the slow side.
 	Pace        time.Duration
 	Fingerprint Fingerprint
-	Deadline       time.Time
+	Deadline    time.Time
 	// LatestStart is the instant after which the request cannot end by its deadline.
 	LatestStart time.Time
 	// Target is the instant by which the first token is due.
