--- a/core/composer/config_test.go
+++ b/core/composer/config_test.go
@@ -105,6 +105,24 @@
 	})
 }
 
+// TestChangeAppliedTwice has an append take effect after it was repeated; the repetition must not count as a conflict.
+func TestChangeAppliedTwice(t *testing.T) {
+	withSite(t, 3, 1, func(c *qt.C, s *fake.Site) {
+		s.Log.Late(5 * time.Second)
+		verdict, err := s.Apply(0, "twice", modelEdit(s.Base(0, modelKey), "2"))
+		c.Assert(err, qt.IsNil)
+		c.Check(verdict.Accepted, qt.IsTrue)
+		time.Sleep(20 * time.Second)
+		c.Check(s.Log.Appends(), qt.Equals, 3)
+		for i := range s.Nodes {
+			c.Check(version(s, i), qt.Equals, "2")
+			history := s.Nodes[i].Configurer.History()
+			c.Check(history, qt.HasLen, 2)
+			c.Check(history[1].Accepted, qt.IsTrue)
+		}
+	})
+}
+
 func TestLogDownAtBoot(t *testing.T) {
 	withSite(t, 4, 1, func(c *qt.C, s *fake.Site) {
 		_, err := s.Apply(0, "second", modelEdit(s.Base(0, modelKey), "2"))
--- a/core/composer/memory_test.go
+++ b/core/composer/memory_test.go
@@ -25,7 +25,7 @@
 func reserved(s *fake.Site, except int) int {
 	total := 0
 	for i, node := range s.Nodes {
-		if i == except {
+		if i == except || node.Dead() {
 			continue
 		}
 		for _, row := range node.Scheduler.State().Servers {
@@ -42,6 +42,11 @@
 		// dead is the index of the node that was killed, -1 for none.
 		dead int
 	}{
+		{name: "entry VM and all owners but one killed together", dead: 0, fault: func(s *fake.Site) {
+			for i := range 5 {
+				s.Kill(i)
+			}
+		}},
 		{name: "entry VM killed", dead: 0, fault: func(s *fake.Site) { s.Kill(0) }},
 		{name: "entry VM killed and cancellations lost for a while", dead: 0, fault: func(s *fake.Site) {
 			s.Engines.SetLoseCancels(true)
@@ -80,6 +85,10 @@
 				leave()
 				o := composer.Defaults(s.VM(0), 0)
 				time.Sleep(o.Lease + o.Lag + 2*o.Heartbeat)
+				if s.Nodes[1].Dead() {
+					// The new owner starts its lease when it first hears of the streams.
+					time.Sleep(5 * o.Heartbeat)
+				}
 				c.Check(held(s), qt.Equals, 0)
 				time.Sleep(o.Lag + 2*o.Heartbeat)
 				c.Check(reserved(s, test.dead), qt.Equals, 0)
--- a/internal/fake/site.go
+++ b/internal/fake/site.go
@@ -136,6 +136,16 @@
 	s.Nodes[i].done.Wait()
 }
 
+// Dead reports whether the node was killed.
+func (n *SiteNode) Dead() bool {
+	select {
+	case <-n.dead:
+		return true
+	default:
+		return false
+	}
+}
+
 // Configuration returns the site's first change.
 func (s *Site) Configuration() dragonflypass.Change {
 	change := dragonflypass.Change{ID: "first", Author: "test", At: time.Now()}
