Add the demo of a whole small site; offer requests behind a blocked one

Cause: in the demo, nine prompts that each need three servers took up to 65 s and one was refused. The first request of an account in a lane was offered alone; when it could run on one busy server only, all behind it waited, among them the one that held that server. Ruled out: a deadlock of the reservations (addresses in order) and lost releases (permits were returned at once). Change: requests for one server have a lane of their own, and the first four requests of an account are offered; a zone for a group is chosen by free memory.

--- a/cmd/standin/main.go
+++ b/cmd/standin/main.go
@@ -29,7 +29,7 @@
 		Version:      version,
 		SilenceUsage: true,
 	}
-	root.AddCommand(newPlatformCommand(), newServerCommand(), newServiceCommand(), newVersionCommand())
+	root.AddCommand(newPlatformCommand(), newServerCommand(), newServiceCommand(), newDemoCommand(), newVersionCommand())
 	if err := root.ExecuteContext(ctx); err != nil {
 		os.Exit(1)
 	}
--- a/core/composer/group_test.go
+++ b/core/composer/group_test.go
@@ -104,3 +104,22 @@
 		c.Check(refusal.Ran, qt.Equals, dragonflypass.RanNot)
 	})
 }
+
+// TestGroupsOfOneAccountDoNotHoldEachOtherUp has nine prompts of one account that each need three of four servers.
+func TestGroupsOfOneAccountDoNotHoldEachOtherUp(t *testing.T) {
+	prepare := func(s *fake.Site) {
+		for _, server := range s.Servers {
+			server.Memory, server.Prefill, server.Decode = 120_000, 400_000, 100
+		}
+	}
+	synctestSite(t, 6, 12, prepare, func(c *qt.C, s *fake.Site) {
+		var all sync.WaitGroup
+		for i := range 9 {
+			all.Go(func() {
+				text := prompt(fmt.Sprintf("huge%d", i), 270_000)
+				checkWhole(c, s.Complete(s.Context, i%6, text, 24, dragonflypass.Rank(i%3)), text, 24)
+			})
+		}
+		all.Wait()
+	})
+}
--- a/core/composer/window_test.go
+++ b/core/composer/window_test.go
@@ -79,8 +79,9 @@
 			withSite(t, 3, 6, func(c *qt.C, s *fake.Site) {
 				var all sync.WaitGroup
 				send := func(results map[string]*fake.Answer, name string, node, tokens, output int, rank dragonflypass.Rank) {
-					results[name] = &fake.Answer{}
-					all.Go(func() { s.CompleteInto(s.Context, results[name], node, prompt(name, tokens), output, rank) })
+					a := &fake.Answer{}
+					results[name] = a
+					all.Go(func() { s.CompleteInto(s.Context, a, node, prompt(name, tokens), output, rank) })
 				}
 				long, short := map[string]*fake.Answer{}, map[string]*fake.Answer{}
 				for i := range 12 {
--- a/core/dispatcher/group.go
+++ b/core/dispatcher/group.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"context"
 	"errors"
+	"maps"
 	"slices"
 	"time"
 	"unicode/utf8"
@@ -186,8 +187,9 @@
 	}
 }
 
-// plan chooses the zone that needs the fewest servers for the request, leaving
-// at least one server of the model to other work; nil when no zone can hold it.
+// plan chooses the zone that needs the fewest servers for the request, of
+// several the one with the most free memory, leaving at least one server of the
+// model to other work; nil when no zone can hold it.
 func (d *Dispatcher) plan(j *job) *group {
 	current := d.Current()
 	zones := make(map[dragonflypass.AvailabilityZone][]room)
@@ -203,12 +205,12 @@
 		}
 	}
 	var best []room
-	for _, rooms := range zones {
-		chosen := choose(rooms, j.request.PromptTokens+j.request.OutputTokens)
+	for _, zone := range slices.Sorted(maps.Keys(zones)) {
+		chosen := choose(zones[zone], j.request.Tokens())
 		if chosen == nil || len(chosen) >= total {
 			continue
 		}
-		if best == nil || cmp.Or(cmp.Compare(len(chosen), len(best)), cmp.Compare(chosen[0].server.ID, best[0].server.ID)) < 0 {
+		if best == nil || cmp.Or(cmp.Compare(len(chosen), len(best)), cmp.Compare(freeOf(best), freeOf(chosen))) < 0 {
 			best = chosen
 		}
 	}
@@ -265,6 +267,15 @@
 
 func (r room) capacity() int { return int(float64(r.server.Memory) * (1 - partMargin)) }
 
+// freeOf sums the free memory of the servers in tokens.
+func freeOf(rooms []room) int {
+	free := 0
+	for _, r := range rooms {
+		free += r.free
+	}
+	return free
+}
+
 // choose returns the fewest servers whose memory holds the tokens, those with the most free first; nil when all do not.
 func choose(rooms []room, tokens int) []room {
 	slices.SortFunc(rooms, func(a, b room) int {
--- a/core/ranker/lane.go
+++ b/core/ranker/lane.go
@@ -30,7 +30,6 @@
 
 func (l *lane) push(e *entry) {
 	request := &e.waiting.Request
-	l.tokens += request.PromptTokens
 	ln, ok := l.byName[request.Account]
 	if !ok {
 		ln = &line{id: request.Account, account: e.account, key: e.account.counter}
@@ -43,7 +42,6 @@
 
 func (l *lane) remove(e *entry) {
 	request := &e.waiting.Request
-	l.tokens -= request.PromptTokens
 	e.gone = true
 	ln := l.byName[request.Account]
 	ln.live--
@@ -82,13 +80,30 @@
 	l.settle()
 	tries := slices.Clone(l.lines[:min(accountTries, len(l.lines))])
 	for _, ln := range tries {
-		if e := ln.entries[0]; fit(e.waiting) {
+		if e := ln.first(fit); e != nil {
 			return e
 		}
 	}
 	return nil
 }
 
+// first returns the first request that fit accepts among the first few of the line.
+func (ln *line) first(fit func(*dragonflypass.Waiting) bool) *entry {
+	tried := 0
+	for _, e := range ln.entries {
+		if e.gone {
+			continue
+		}
+		if fit(e.waiting) {
+			return e
+		}
+		if tried++; tried == entryTries {
+			return nil
+		}
+	}
+	return nil
+}
+
 // target is the instant at which the lane's first request is due its first token.
 func (l *lane) target() time.Time {
 	l.settle()
--- a/core/ranker/ranker.go
+++ b/core/ranker/ranker.go
@@ -14,6 +14,8 @@
 	shareHalfLife = 30 * time.Second
 	// accountTries is the number of accounts of one lane whose first request is offered.
 	accountTries = 4
+	// entryTries is the number of requests of one account in one lane that are offered.
+	entryTries = 4
 	// cleanEvery is the number of pushes between two removals of idle accounts.
 	cleanEvery = 1024
 )
@@ -30,6 +32,13 @@
 	decayed  time.Time
 	pushes   int
 	accounts map[accountKey]*account
+	// backlogs holds the waiting prompt tokens.
+	backlogs map[backlogKey]int
+}
+
+type backlogKey struct {
+	model dragonflypass.ModelID
+	rank  dragonflypass.Rank
 }
 
 // rankState is what one rank has waiting and has been given.
@@ -47,6 +56,8 @@
 	model dragonflypass.ModelID
 	rank  dragonflypass.Rank
 	class dragonflypass.LengthClass
+	// only is set for requests that one server alone may run, so that they hold up no others.
+	only dragonflypass.ServerID
 }
 
 // lane holds the waiting requests of one model, rank and length class.
@@ -54,7 +65,6 @@
 	key    laneKey
 	lines  lineHeap
 	byName map[dragonflypass.AccountID]*line
-	tokens int
 }
 
 type accountKey struct {
@@ -80,6 +90,7 @@
 		lanes:    make(map[laneKey]*lane),
 		entries:  make(map[*dragonflypass.Waiting]*entry),
 		accounts: make(map[accountKey]*account),
+		backlogs: make(map[backlogKey]int),
 	}
 }
 
@@ -105,6 +116,7 @@
 	q.entries[waiting] = e
 	a.queued++
 	a.tokens += request.PromptTokens
+	q.backlogs[backlogKey{model: request.Model, rank: request.Rank}] += request.PromptTokens
 	rank.queued++
 	q.clean()
 }
@@ -134,7 +146,7 @@
 }
 
 func (q *Queue) lane(request *dragonflypass.PermitRequest) *lane {
-	key := laneKey{model: request.Model, rank: request.Rank, class: dragonflypass.ClassOf(request.PromptTokens)}
+	key := laneKey{model: request.Model, rank: request.Rank, class: dragonflypass.ClassOf(request.PromptTokens), only: request.Only}
 	l, ok := q.lanes[key]
 	if !ok {
 		l = &lane{key: key, byName: make(map[dragonflypass.AccountID]*line)}
@@ -176,6 +188,7 @@
 		delete(q.lanes, l.key)
 	}
 	rank := &q.ranks[request.Rank]
+	q.backlogs[backlogKey{model: request.Model, rank: request.Rank}] -= request.PromptTokens
 	rank.queued--
 	e.account.queued--
 	e.account.tokens -= request.PromptTokens
@@ -236,7 +249,7 @@
 		if order := cmp.Compare(a.key.class, b.key.class); order != 0 {
 			return order
 		}
-		return cmp.Compare(a.key.model, b.key.model)
+		return cmp.Or(cmp.Compare(a.key.model, b.key.model), cmp.Compare(a.key.only, b.key.only))
 	})
 	return lanes
 }
@@ -276,13 +289,7 @@
 }
 
 func (q *Queue) rankBacklog(model dragonflypass.ModelID, rank dragonflypass.Rank) int {
-	tokens := 0
-	for class := range dragonflypass.LengthClass(dragonflypass.ClassCount) {
-		if l, ok := q.lanes[laneKey{model: model, rank: rank, class: class}]; ok {
-			tokens += l.tokens
-		}
-	}
-	return tokens
+	return q.backlogs[backlogKey{model: model, rank: rank}]
 }
 
 // Wait predicts a further request's time in the queue at the given rate in tokens a second.
