--- a/standin/starter/starter.go
+++ b/standin/starter/starter.go
@@ -132,7 +132,7 @@
 		"name": "vm-%d", "zone": %q,
 		"listen": {"callers": "127.0.0.1:0", "peers": "127.0.0.1:0", "admin": "127.0.0.1:0"},
 		"platform": {"address": %q}, "peers": {"secret": {"value": %q}}, "admin": {"secret": {"value": %q}},
-		"times": {"list": "500ms", "drain": "10s"}
+		"limits": {"write": "2s"}, "times": {"list": "500ms", "drain": "10s"}
 	}`, i+1, Zone(i), s.platform, peerSecret, adminSecret))
 	if err != nil {
 		return err
