Keep a request that crashes its servers from costing more than three

Cause: copies of one request sent at the same time through six entry VMs ran on six servers before the first crash was known (6 servers lost; 4 at 50 ms apart). Ruled out: the quarantine itself (a second crash did quarantine it) and the time of a report (copies were already running). Change: rendezvous hashing over the request gives it the same three owners on every entry VM, among which the least wait is chosen; an owner runs one copy at a time until one has ended well; owners accuse before they forget, and a suspect waits a second while word gets round, then has one owner only.

--- a/core/composer/composer.go
+++ b/core/composer/composer.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"math/rand/v2"
 	"sync"
 	"time"
 
@@ -154,6 +153,7 @@
 	w.Timer, w.Pool, w.Engine, w.Peers, w.Members = p.Timer, p.Pool, p.Engine, p.Peers, n.Detector
 	w.Scheduler, w.Guard, w.Meter, w.Logger, w.Period = s, n.Guard, p.Meter, p.Logger, o.Report
 	n.Watcher = w
+	s.Lost = w.Probe
 }
 
 func (n *Node) composeEntry() {
@@ -162,7 +162,7 @@
 	d.Self, d.Incarnation = o.Self, o.Incarnation
 	d.Timer, d.Pool, d.Peers, d.Engine, d.Meter = p.Timer, p.Pool, p.Peers, p.Engine, p.Meter
 	d.Owners, d.Local = n.Detector, n.Scheduler
-	d.Placement = &placer.TwoChoices{Random: rand.New(rand.NewPCG(o.Incarnation, 0))}
+	d.Placement = placer.Least{}
 	d.Admitter, d.Estimator, d.Retrier, d.Guard = n.Admitter, estimator.New(), n.Retrier, n.Guard
 	d.Current, d.Owner, d.Leaving = n.Configurer.Current, n.Assigner.Owner, n.Detector.Leaving
 	d.ZoneDelay = o.Delay
--- a/core/detector/detector.go
+++ b/core/detector/detector.go
@@ -218,7 +218,7 @@
 			}
 			return 1
 		}
-		if score(string(d.Self.ID), a.VM.ID) > score(string(d.Self.ID), b.VM.ID) {
+		if Score(string(d.Self.ID), a.VM.ID) > Score(string(d.Self.ID), b.VM.ID) {
 			return -1
 		}
 		return 1
--- a/core/detector/owner.go
+++ b/core/detector/owner.go
@@ -22,7 +22,7 @@
 		if !eligible(vm) {
 			continue
 		}
-		s := score(string(server), vm.ID)
+		s := Score(string(server), vm.ID)
 		if !found || s > highest || (s == highest && vm.ID < best.ID) {
 			best, highest, found = vm, s, true
 		}
@@ -30,8 +30,8 @@
 	return best, found
 }
 
-// score is the weight of the VM for the key in rendezvous hashing.
-func score(key string, vm dragonflypass.VMID) uint64 {
+// Score is the weight of the VM for the key in rendezvous hashing.
+func Score(key string, vm dragonflypass.VMID) uint64 {
 	var digest xxhash.Digest
 	digest.Reset()
 	_, _ = digest.WriteString(key)
--- a/core/dispatcher/acquire.go
+++ b/core/dispatcher/acquire.go
@@ -1,15 +1,24 @@
 package dispatcher
 
 import (
+	"cmp"
 	"context"
 	"slices"
 	"time"
 
 	"github.com/dragonflypass/dragonflypass"
+	"github.com/dragonflypass/dragonflypass/core/detector"
+	"github.com/dragonflypass/dragonflypass/core/quarantiner"
 )
 
-// ownerTries is the number of owners asked for one permit.
-const ownerTries = 3
+const (
+	// ownerChoices is the number of owners among which a request is placed; the
+	// same request has the same choices on every entry VM, so that copies of one
+	// that crashes its server reach no more owners than these.
+	ownerChoices = 3
+	// suspectChoices is that number for a request that may have crashed a server.
+	suspectChoices = 1
+)
 
 // placed is the prompt tokens sent to an owner since its digest of the instant.
 type placed struct {
@@ -31,10 +40,7 @@
 	if err != nil {
 		return dragonflypass.Permit{}, err
 	}
-	for i, owner := range owners {
-		if i == ownerTries {
-			break
-		}
+	for _, owner := range owners {
 		var permit dragonflypass.Permit
 		permit, err = d.ask(ctx, owner, request)
 		if err == nil || ctx.Err() != nil {
@@ -136,6 +142,7 @@
 			add(others[i].VM, others[i].Heard, others[i].Loads)
 		}
 	}
+	candidates = d.choose(request, candidates)
 	d.Placement.Order(candidates)
 	owners := make([]dragonflypass.VM, len(candidates))
 	for i := range candidates {
@@ -144,6 +151,22 @@
 	return owners
 }
 
+// choose returns the few candidates that rendezvous hashing gives the request.
+func (d *Dispatcher) choose(request *dragonflypass.PermitRequest, candidates []dragonflypass.Candidate) []dragonflypass.Candidate {
+	choices := ownerChoices
+	if request.Breaks > 0 || d.Guard.Check(request.Fingerprint) != quarantiner.Clear {
+		choices = suspectChoices
+	}
+	if len(candidates) <= choices {
+		return candidates
+	}
+	key := string(request.Fingerprint.Body[:])
+	slices.SortFunc(candidates, func(a, b dragonflypass.Candidate) int {
+		return cmp.Compare(detector.Score(key, dragonflypass.VMID(b.Name)), detector.Score(key, dragonflypass.VMID(a.Name)))
+	})
+	return candidates[:choices]
+}
+
 // candidate sums an owner's digests up; ok is false when none of its servers may run the request.
 func (d *Dispatcher) candidate(request *dragonflypass.PermitRequest, current *dragonflypass.Configuration, vm dragonflypass.VM, heard time.Time, loads []dragonflypass.ServerLoad) (c dragonflypass.Candidate, ok bool) {
 	class := dragonflypass.ClassOf(request.PromptTokens)
--- a/core/quarantiner/quarantiner.go
+++ b/core/quarantiner/quarantiner.go
@@ -14,6 +14,12 @@
 	suspectTime = 10 * time.Minute
 	// quarantineTime is how long a request stays quarantined.
 	quarantineTime = time.Hour
+	// spreadTime is the time in which word of a crash reaches the other entry VMs.
+	spreadTime = time.Second
+	// provenTime is how long a request counts as harmless after it ran to its end.
+	provenTime = 10 * time.Minute
+	// provenLimit is the largest number of requests that are remembered as harmless.
+	provenLimit = 50_000
 )
 
 // Verdict tells whether a request may run.
@@ -25,6 +31,8 @@
 	Clear Verdict = iota
 	// Alone means that the request may run, once at a time, where no other suspect runs.
 	Alone
+	// Waits means that the request may not run until word of its crash has got round.
+	Waits
 	// Quarantined means that the request may not run.
 	Quarantined
 )
@@ -38,11 +46,14 @@
 	mutex    locker.Mutex
 	suspects map[dragonflypass.Fingerprint]*suspect
 	crashes  map[crashKey]time.Time
+	proven   map[dragonflypass.Fingerprint]time.Time
 }
 
 type suspect struct {
 	crashes int
-	until   time.Time
+	// since is the instant of the last crash.
+	since time.Time
+	until time.Time
 }
 
 type crashKey struct {
@@ -56,6 +67,7 @@
 		mutex:    locker.Mutex{Order: locker.Suspects},
 		suspects: make(map[dragonflypass.Fingerprint]*suspect),
 		crashes:  make(map[crashKey]time.Time),
+		proven:   make(map[dragonflypass.Fingerprint]time.Time),
 	}
 }
 
@@ -107,7 +119,9 @@
 		s = &suspect{}
 		q.suspects[fingerprint] = s
 	}
+	delete(q.proven, fingerprint)
 	s.crashes++
+	s.since = now
 	if s.crashes < crashLimit {
 		s.until = now.Add(suspectTime)
 		return false
@@ -116,15 +130,28 @@
 	return s.crashes == crashLimit
 }
 
-// Finished clears a suspect that ran to its end.
+// Finished clears a request that ran to its end.
 func (q *Quarantiner) Finished(fingerprint dragonflypass.Fingerprint) {
+	now := q.Timer.Now()
 	q.mutex.Lock()
 	defer q.mutex.Unlock()
+	if len(q.proven) < provenLimit {
+		q.proven[fingerprint] = now
+	}
 	if s, ok := q.suspects[fingerprint]; ok && s.crashes < crashLimit {
 		delete(q.suspects, fingerprint)
 	}
 }
 
+// Proven reports whether the request ran to its end lately, so that copies of it may run at once.
+func (q *Quarantiner) Proven(fingerprint dragonflypass.Fingerprint) bool {
+	now := q.Timer.Now()
+	q.mutex.Lock()
+	defer q.mutex.Unlock()
+	at, ok := q.proven[fingerprint]
+	return ok && now.Sub(at) < provenTime
+}
+
 // Check returns whether the fingerprint may run.
 func (q *Quarantiner) Check(fingerprint dragonflypass.Fingerprint) Verdict {
 	now := q.Timer.Now()
@@ -138,8 +165,11 @@
 		delete(q.suspects, fingerprint)
 		return Clear
 	}
-	if s.crashes >= crashLimit {
+	switch {
+	case s.crashes >= crashLimit:
 		return Quarantined
+	case now.Sub(s.since) < spreadTime:
+		return Waits
 	}
 	return Alone
 }
@@ -154,6 +184,11 @@
 			delete(q.crashes, key)
 		}
 	}
+	for fingerprint, at := range q.proven {
+		if now.Sub(at) > provenTime {
+			delete(q.proven, fingerprint)
+		}
+	}
 	for fingerprint, s := range q.suspects {
 		if !now.Before(s.until) {
 			delete(q.suspects, fingerprint)
--- a/core/scheduler/permit.go
+++ b/core/scheduler/permit.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math"
+	"slices"
 	"time"
 
 	"github.com/dragonflypass/dragonflypass"
@@ -27,6 +28,23 @@
 	suspect bool
 }
 
+// keep puts the permit into the table; it is called with the permits locked.
+func (s *Scheduler) keep(p *permit) {
+	s.permits[p.held.Stream] = p
+	s.prints[p.held.Fingerprint] = append(s.prints[p.held.Fingerprint], p)
+}
+
+// discard takes the permit out of the table; it is called with the permits locked.
+func (s *Scheduler) discard(p *permit) {
+	delete(s.permits, p.held.Stream)
+	rest := slices.DeleteFunc(s.prints[p.held.Fingerprint], func(other *permit) bool { return other == p })
+	if len(rest) == 0 {
+		delete(s.prints, p.held.Fingerprint)
+		return
+	}
+	s.prints[p.held.Fingerprint] = rest
+}
+
 // chargeAhead is the largest number of output tokens charged at the grant.
 const chargeAhead = 256
 
@@ -46,7 +64,7 @@
 		heard:   now,
 		suspect: request.Breaks > 0 || s.Guard.Check(request.Fingerprint) != 0,
 	}
-	s.permits[request.Stream] = p
+	s.keep(p)
 	srv.start(request, now)
 	if p.suspect {
 		srv.suspects++
@@ -127,6 +145,7 @@
 	}
 	if release.Outcome == dragonflypass.OutcomeLost {
 		s.cancelLater(release.Server, release.Stream)
+		s.Lost(release.Server)
 	}
 	s.dispatch()
 }
@@ -150,7 +169,7 @@
 
 // drop returns the permit's memory.
 func (s *Scheduler) drop(p *permit) {
-	delete(s.permits, p.held.Stream)
+	s.discard(p)
 	srv, ok := s.servers[p.held.Server]
 	if !ok {
 		return
@@ -187,7 +206,7 @@
 	if _, gone := s.released[held.Stream]; !ok || !srv.reported || gone {
 		return
 	}
-	s.permits[held.Stream] = &permit{held: held, weight: 1, granted: now, heard: now}
+	s.keep(&permit{held: held, weight: 1, granted: now, heard: now})
 	srv.reserved += held.Tokens
 	srv.streams++
 }
@@ -197,7 +216,9 @@
 	if srv, ok := s.servers[p.held.Server]; ok {
 		srv.reserved += held.Tokens - p.held.Tokens
 	}
+	s.discard(p)
 	p.held = held
+	s.keep(p)
 	p.strange = false
 	p.orphan = false
 }
--- a/core/scheduler/report.go
+++ b/core/scheduler/report.go
@@ -67,7 +67,7 @@
 		return
 	}
 	held := dragonflypass.HeldStream{Stream: stream.Stream, Server: srv.declared.ID, Tokens: stream.Tokens}
-	s.permits[stream.Stream] = &permit{held: held, weight: 1, granted: now, heard: now, strange: true}
+	s.keep(&permit{held: held, weight: 1, granted: now, heard: now, strange: true})
 	srv.reserved += stream.Tokens
 	srv.streams++
 }
@@ -94,12 +94,12 @@
 	if !refused {
 		return dragonflypass.Crash{}, false
 	}
-	crash := s.crash(srv)
+	crash, news := s.crash(srv)
 	s.forget(srv)
-	return crash, true
+	return crash, news
 }
 
-// Restarted returns what was running on a server whose epoch has changed, when that is news.
+// Restarted drops what was running on a server whose epoch has changed, and returns it when that is news.
 func (s *Scheduler) Restarted(report dragonflypass.ServerReport) (dragonflypass.Crash, bool) {
 	s.serversLock.Lock()
 	defer s.serversLock.Unlock()
@@ -109,18 +109,21 @@
 	if !ok || !srv.reported || srv.epoch == report.Epoch {
 		return dragonflypass.Crash{}, false
 	}
-	return s.crash(srv), true
+	crash, news := s.crash(srv)
+	s.forget(srv)
+	return crash, news
 }
 
-// crash lists the fingerprints that ran on the server; it is called with the servers and permits locked.
-func (s *Scheduler) crash(srv *server) dragonflypass.Crash {
+// crash accuses what ran on the server, before any of it can run elsewhere, and
+// reports whether the crash was news; it is called with the servers and permits locked.
+func (s *Scheduler) crash(srv *server) (dragonflypass.Crash, bool) {
 	crash := dragonflypass.Crash{Server: srv.declared.ID, Epoch: srv.epoch, At: s.Timer.Now()}
 	for _, p := range s.permits {
 		if p.held.Server == srv.declared.ID && p.held.Fingerprint != (dragonflypass.Fingerprint{}) {
 			crash.Fingerprints = append(crash.Fingerprints, p.held.Fingerprint)
 		}
 	}
-	return crash
+	return crash, len(crash.Fingerprints) > 0 && s.Guard.Crashed(crash)
 }
 
 // forget drops the accounting of a server that died; its memory died with it.
--- a/core/scheduler/scheduler.go
+++ b/core/scheduler/scheduler.go
@@ -37,6 +37,8 @@
 	Lag time.Duration
 	// Leaving reports whether this VM's shutdown has begun.
 	Leaving func() bool
+	// Lost is called when a stream broke at a server.
+	Lost func(dragonflypass.ServerID)
 
 	serversLock locker.Mutex
 	servers     map[dragonflypass.ServerID]*server
@@ -46,6 +48,8 @@
 
 	permitsLock locker.Mutex
 	permits     map[dragonflypass.StreamID]*permit
+	// prints finds the permits of a fingerprint.
+	prints map[dragonflypass.Fingerprint][]*permit
 	// released holds the streams whose release came lately, so that a late claim does not revive them.
 	released map[dragonflypass.StreamID]time.Time
 
@@ -63,6 +67,7 @@
 		servers:     make(map[dragonflypass.ServerID]*server),
 		rates:       make(map[dragonflypass.ModelID]*rate),
 		permits:     make(map[dragonflypass.StreamID]*permit),
+		prints:      make(map[dragonflypass.Fingerprint][]*permit),
 		released:    make(map[dragonflypass.StreamID]time.Time),
 	}
 }
@@ -253,17 +258,20 @@
 func (s *Scheduler) cleared(request *dragonflypass.PermitRequest) (suspect, may bool) {
 	verdict := s.Guard.Check(request.Fingerprint)
 	suspect = verdict != quarantiner.Clear || request.Breaks > 0
-	if verdict == quarantiner.Quarantined || (suspect && s.running(request)) {
+	switch {
+	case verdict == quarantiner.Quarantined, verdict == quarantiner.Waits:
 		return suspect, false
+	case suspect || !s.Guard.Proven(request.Fingerprint):
+		return suspect, !s.copied(request)
 	}
-	return suspect, true
+	return false, true
 }
 
-// running reports whether another request with the fingerprint runs at an owned server; it is called with the permits locked.
-func (s *Scheduler) running(request *dragonflypass.PermitRequest) bool {
-	for _, p := range s.permits {
+// copied reports whether another request with the fingerprint runs at an owned server; it is called with the permits locked.
+func (s *Scheduler) copied(request *dragonflypass.PermitRequest) bool {
+	for _, p := range s.prints[request.Fingerprint] {
 		sameGroup := request.Group != 0 && p.group == request.Group && p.held.Stream.VM == request.Stream.VM
-		if p.held.Fingerprint == request.Fingerprint && !sameGroup {
+		if !sameGroup {
 			return true
 		}
 	}
@@ -323,6 +331,8 @@
 			refusal = s.refuseLeaving()
 		case s.Guard.Check(w.Request.Fingerprint) == quarantiner.Quarantined:
 			refusal = refuseQuarantined()
+		case refusal == nil && w.Request.Breaks == 0 && s.Guard.Check(w.Request.Fingerprint) != quarantiner.Clear:
+			refusal = dragonflypass.Refuse(dragonflypass.ReasonBusy, retryMin, "a backend server crashed while running a copy of this request")
 		}
 		refusals[w] = refusal
 		return refusal == nil
--- a/core/scheduler/server.go
+++ b/core/scheduler/server.go
@@ -177,9 +177,9 @@
 		srv.slots = current.Slots(&declared, now)
 		kept[declared.ID] = srv
 	}
-	for stream, p := range s.permits {
+	for _, p := range s.permits {
 		if kept[p.held.Server] == nil {
-			delete(s.permits, stream)
+			s.discard(p)
 		}
 	}
 	s.servers = kept
--- a/core/watcher/watcher.go
+++ b/core/watcher/watcher.go
@@ -138,17 +138,9 @@
 	}
 }
 
-// tell notes a crash and passes it on to the other entry VMs.
+// tell passes news of a crash on to the other entry VMs.
 func (w *Watcher) tell(crash dragonflypass.Crash) {
-	if len(crash.Fingerprints) == 0 || !w.Guard.Crashed(crash) {
-		return
-	}
 	w.Scheduler.Recheck()
-	w.Spread(crash)
-}
-
-// Spread passes word of a crash on to the other entry VMs.
-func (w *Watcher) Spread(crash dragonflypass.Crash) {
 	for _, member := range w.Members.Others() {
 		w.Pool.Submit(dragonflypass.JobPeer, func(ctx context.Context) {
 			ctx, cancel := w.Timer.WithDeadline(ctx, w.Timer.Now().Add(reportTimeout))
@@ -157,3 +149,14 @@
 		})
 	}
 }
+
+// Probe reads the server's report at once, as after a stream broke there.
+func (w *Watcher) Probe(id dragonflypass.ServerID) {
+	for _, server := range w.Scheduler.Owned() {
+		if server.ID == id && w.begin(id) {
+			if !w.Pool.Submit(dragonflypass.JobReport, func(ctx context.Context) { w.read(ctx, server) }) {
+				w.end(id)
+			}
+		}
+	}
+}
