Let a request go on to owners that can serve it

Change: excluded servers make no candidate, and an owner that cannot serve does not count among the choices.

--- a/core/dispatcher/acquire.go
+++ b/core/dispatcher/acquire.go
@@ -40,17 +40,27 @@
 	if err != nil {
 		return dragonflypass.Permit{}, err
 	}
-	for _, owner := range owners {
+	choices := d.choices(&request)
+	for i := 0; i < len(owners) && i < choices; i++ {
 		var permit dragonflypass.Permit
-		permit, err = d.ask(ctx, owner, request)
+		permit, err = d.ask(ctx, owners[i], request)
 		if err == nil || ctx.Err() != nil {
 			return permit, err
 		}
+		if cannotServe(err) {
+			choices++
+		}
 		request.Stream = d.nextStream()
 	}
 	return dragonflypass.Permit{}, err
 }
 
+// cannotServe reports whether an owner was no choice at all, as opposed to a busy one.
+func cannotServe(err error) bool {
+	refusal, ok := dragonflypass.AsRefusal(err)
+	return !ok || refusal.Reason == dragonflypass.ReasonNoServer || refusal.Reason == dragonflypass.ReasonLeaving
+}
+
 // awaitOwners returns the owners to ask, waiting a while for the first one.
 func (d *Dispatcher) awaitOwners(ctx context.Context, request *dragonflypass.PermitRequest) ([]dragonflypass.VM, error) {
 	until := d.Timer.Now().Add(serverWait)
@@ -142,8 +152,7 @@
 			add(others[i].VM, others[i].Heard, others[i].Loads)
 		}
 	}
-	candidates = d.choose(request, candidates)
-	d.Placement.Order(candidates)
+	d.rank(request, candidates)
 	owners := make([]dragonflypass.VM, len(candidates))
 	for i := range candidates {
 		owners[i] = vms[candidates[i].Name]
@@ -151,20 +160,24 @@
 	return owners
 }
 
-// choose returns the few candidates that rendezvous hashing gives the request.
-func (d *Dispatcher) choose(request *dragonflypass.PermitRequest, candidates []dragonflypass.Candidate) []dragonflypass.Candidate {
-	choices := ownerChoices
+// choices is the number of owners among which the request is placed.
+func (d *Dispatcher) choices(request *dragonflypass.PermitRequest) int {
 	if request.Breaks > 0 || d.Guard.Check(request.Fingerprint) != quarantiner.Clear {
-		choices = suspectChoices
+		return suspectChoices
 	}
-	if len(candidates) <= choices {
-		return candidates
+	return ownerChoices
+}
+
+// rank orders the candidates: those that rendezvous hashing gives the request first, among them by the placement policy.
+func (d *Dispatcher) rank(request *dragonflypass.PermitRequest, candidates []dragonflypass.Candidate) {
+	choices := d.choices(request)
+	if len(candidates) > choices {
+		key := string(request.Fingerprint.Body[:])
+		slices.SortFunc(candidates, func(a, b dragonflypass.Candidate) int {
+			return cmp.Compare(detector.Score(key, dragonflypass.VMID(b.Name)), detector.Score(key, dragonflypass.VMID(a.Name)))
+		})
 	}
-	key := string(request.Fingerprint.Body[:])
-	slices.SortFunc(candidates, func(a, b dragonflypass.Candidate) int {
-		return cmp.Compare(detector.Score(key, dragonflypass.VMID(b.Name)), detector.Score(key, dragonflypass.VMID(a.Name)))
-	})
-	return candidates[:choices]
+	d.Placement.Order(candidates[:min(choices, len(candidates))])
 }
 
 // candidate sums an owner's digests up; ok is false when none of its servers may run the request.
@@ -173,7 +186,7 @@
 	prefill := 0.0
 	for i := range loads {
 		server := current.Servers[loads[i].Server]
-		if server == nil || !server.Serves(request.Model) || server.Memory < request.Tokens() {
+		if server == nil || !server.Serves(request.Model) || server.Memory < request.Tokens() || slices.Contains(request.Exclude, server.ID) {
 			continue
 		}
 		prefill += server.Prefill
