Measure the policy in virtual time; let urgent prompts pass those being processed

Cause of the first round: an owner granted nothing more to a server until the short prompts it had were processed, whatever their rank; the engines honour priorities, so an urgent prompt need not wait for a normal one. Change: the predicted time is kept for each level of the engine's priority; a request that is served to keep its rank's floor counts as urgent.

--- /dev/null
+++ b/cmd/dragonflybench/main.go
@@ -0,0 +1,35 @@
+package main
+
+import (
+	"fmt"
+	"os"
+
+	"github.com/spf13/cobra"
+)
+
+// version is the release of the program.
+const version = "0.1.0"
+
+func main() {
+	root := &cobra.Command{
+		Use:           "dragonflybench",
+		Short:         "Runs experiments with the decisions and measures their cost",
+		Version:       version,
+		SilenceUsage:  true,
+		SilenceErrors: true,
+	}
+	root.AddCommand(newPolicyCommand(), newVersionCommand())
+	if err := root.Execute(); err != nil {
+		fmt.Fprintln(os.Stderr, "dragonflybench:", err)
+		os.Exit(1)
+	}
+}
+
+func newVersionCommand() *cobra.Command {
+	return &cobra.Command{
+		Use:   "version",
+		Short: "Print the version",
+		Args:  cobra.NoArgs,
+		Run:   func(command *cobra.Command, _ []string) { fmt.Fprintln(command.OutOrStdout(), version) },
+	}
+}
--- a/core/dispatcher/acquire.go
+++ b/core/dispatcher/acquire.go
@@ -68,7 +68,7 @@
 		until = request.LatestStart
 	}
 	for {
-		owners := d.candidates(request)
+		owners := d.Order(request)
 		if len(owners) > 0 {
 			return owners, nil
 		}
@@ -101,7 +101,7 @@
 	}
 	for model := range d.Current().Models {
 		request := &dragonflypass.PermitRequest{Model: model}
-		if len(d.candidates(request)) == 0 {
+		if len(d.Order(request)) == 0 {
 			return false
 		}
 	}
@@ -128,14 +128,14 @@
 		Fingerprint:    r.Fingerprint,
 		Deadline:       r.Deadline,
 		LatestStart:    d.latestStart(j, current),
-		Target:         target(r, current.Ranks[r.Rank]),
+		Target:         Target(r, current.Ranks[r.Rank]),
 		Breaks:         j.breaks,
 		Exclude:        j.exclude,
 	}
 }
 
-// candidates returns the owners of servers that may run the request, the best first.
-func (d *Dispatcher) candidates(request *dragonflypass.PermitRequest) []dragonflypass.VM {
+// Order returns the owners of servers that may run the request, in the order in which to ask them.
+func (d *Dispatcher) Order(request *dragonflypass.PermitRequest) []dragonflypass.VM {
 	current := d.Current()
 	others := d.Owners.Others()
 	vms := make(map[string]dragonflypass.VM, len(others)+1)
--- a/core/dispatcher/prepare.go
+++ b/core/dispatcher/prepare.go
@@ -130,8 +130,8 @@
 
 func seconds(value float64) time.Duration { return time.Duration(value * float64(time.Second)) }
 
-// target is the instant by which the first token is due: the rank's target, longer in proportion for long prompts.
-func target(request *dragonflypass.Request, policy dragonflypass.RankPolicy) time.Time {
+// Target is the instant by which the first token is due: the rank's target, longer in proportion for long prompts.
+func Target(request *dragonflypass.Request, policy dragonflypass.RankPolicy) time.Time {
 	scale := max(1, float64(request.PromptTokens)/float64(dragonflypass.ClassBounds[dragonflypass.ClassShort]))
 	return request.Arrived.Add(time.Duration(float64(policy.First) * scale))
 }
--- a/core/ranker/ranker.go
+++ b/core/ranker/ranker.go
@@ -202,8 +202,13 @@
 // lanes, within a lane the account with the least service.
 func (q *Queue) Next(now time.Time, fit func(*dragonflypass.Waiting) bool) *dragonflypass.Waiting {
 	for _, rank := range q.rankOrder() {
+		lifted := q.lack(rank) > 0
+		offer := func(w *dragonflypass.Waiting) bool {
+			w.Lifted = lifted
+			return fit(w)
+		}
 		for _, l := range q.lanesBySlack(rank) {
-			if e := l.first(fit); e != nil {
+			if e := l.first(offer); e != nil {
 				q.remove(e)
 				q.ranks[rank].virtual = math.Max(q.ranks[rank].virtual, e.account.counter)
 				return e.waiting
@@ -213,24 +218,24 @@
 	return nil
 }
 
+// lack is how far the rank is below its floor, from 0 to 1.
+func (q *Queue) lack(rank dragonflypass.Rank) float64 {
+	floor, total := q.Policies()[rank].Floor, q.served()
+	if floor <= 0 || total <= 0 {
+		return 0
+	}
+	return math.Max(0, 1-q.ranks[rank].served/(floor*total))
+}
+
 // rankOrder returns the ranks with waiting requests in the order of service.
 func (q *Queue) rankOrder() []dragonflypass.Rank {
-	policies := q.Policies()
-	total := q.served()
-	lack := func(rank dragonflypass.Rank) float64 {
-		floor := policies[rank].Floor
-		if floor <= 0 || total <= 0 {
-			return 0
-		}
-		return math.Max(0, 1-q.ranks[rank].served/(floor*total))
-	}
 	order := make([]dragonflypass.Rank, 0, dragonflypass.RankCount)
 	for rank := range dragonflypass.Rank(dragonflypass.RankCount) {
 		if q.ranks[rank].queued > 0 {
 			order = append(order, rank)
 		}
 	}
-	slices.SortStableFunc(order, func(a, b dragonflypass.Rank) int { return cmp.Compare(lack(b), lack(a)) })
+	slices.SortStableFunc(order, func(a, b dragonflypass.Rank) int { return cmp.Compare(q.lack(b), q.lack(a)) })
 	return order
 }
 
--- a/core/scheduler/digest.go
+++ b/core/scheduler/digest.go
@@ -42,7 +42,7 @@
 		}
 	}
 	for class := range load.Wait {
-		load.Wait[class] = backlog + max(0, srv.shortFree.Sub(now))
+		load.Wait[class] = backlog + max(0, srv.levels[int(dragonflypass.RankNormal)*dragonflypass.ClassCount+class].Sub(now))
 		if isLong(classTokens[class]) && srv.hasLong {
 			load.Wait[class] += max(0, srv.longFree.Sub(now))
 		}
--- a/core/scheduler/permit.go
+++ b/core/scheduler/permit.go
@@ -65,7 +65,7 @@
 		suspect: request.Breaks > 0 || s.Guard.Check(request.Fingerprint) != 0,
 	}
 	s.keep(p)
-	srv.start(request, now)
+	srv.start(w, now)
 	if p.suspect {
 		srv.suspects++
 	}
@@ -73,7 +73,7 @@
 	s.noteGrant(request, now)
 	return dragonflypass.Permit{
 		Stream: request.Stream, Owner: s.Self, Server: srv.declared.ID, Address: srv.declared.Address,
-		Priority: int(request.Rank)*dragonflypass.ClassCount + int(dragonflypass.ClassOf(request.PromptTokens)),
+		Priority: levelOf(w),
 	}
 }
 
--- a/core/scheduler/report.go
+++ b/core/scheduler/report.go
@@ -134,6 +134,6 @@
 		}
 	}
 	srv.reported = false
-	srv.shortFree = time.Time{}
+	srv.levels = [levelCount]time.Time{}
 	srv.hasLong = false
 }
--- a/core/scheduler/scheduler.go
+++ b/core/scheduler/scheduler.go
@@ -240,8 +240,8 @@
 			if srv.declared.Memory >= request.Tokens() && srv.freer(freest) {
 				freest = srv
 			}
-		case srv.open(request, now):
-			candidates = append(candidates, srv.candidate(request, now))
+		case srv.open(w, now):
+			candidates = append(candidates, srv.candidate(w, now))
 		}
 	}
 	if len(candidates) > 0 {
@@ -285,8 +285,8 @@
 	}
 	var next time.Time
 	for _, srv := range s.servers {
-		at := srv.opens()
-		if at.After(now) && (next.IsZero() || at.Before(next)) {
+		at := srv.opens(now)
+		if !at.IsZero() && (next.IsZero() || at.Before(next)) {
 			next = at
 		}
 	}
--- a/core/scheduler/server.go
+++ b/core/scheduler/server.go
@@ -40,8 +40,9 @@
 	reserved int
 	streams  int
 	suspects int
-	// shortFree is the instant at which the short prompts given so far are processed.
-	shortFree time.Time
+	// levels holds, for each level of the engine's priority, the instant at which
+	// the prompts of that and all more urgent levels given so far are processed.
+	levels [levelCount]time.Time
 	// longFree is the instant at which the long prompt given last is predicted to be processed.
 	longFree time.Time
 	// long is the stream of that prompt while it is being processed.
@@ -94,28 +95,49 @@
 func isLong(tokens int) bool { return dragonflypass.ClassOf(tokens) >= dragonflypass.ClassLong }
 
 // open reports whether the server's prompt processing has room for the request.
-func (s *server) open(request *dragonflypass.PermitRequest, now time.Time) bool {
-	if isLong(request.PromptTokens) {
+func (s *server) open(w *dragonflypass.Waiting, now time.Time) bool {
+	if isLong(w.Request.PromptTokens) {
 		return !s.hasLong
 	}
-	return s.shortFree.Sub(now) <= prefillAhead
+	return s.levels[levelOf(w)].Sub(now) <= prefillAhead
+}
+
+// opens returns the next instant at which the server has room for a short prompt of some level, zero when it has for all.
+func (s *server) opens(now time.Time) time.Time {
+	for _, free := range s.levels {
+		if at := free.Add(-prefillAhead); at.After(now) {
+			return at
+		}
+	}
+	return time.Time{}
 }
 
-// opens is the instant at which the server has room for another short prompt.
-func (s *server) opens() time.Time { return s.shortFree.Add(-prefillAhead) }
+// levelCount is the number of levels of the engine's priority, lower ones running first.
+const levelCount = dragonflypass.RankCount * dragonflypass.ClassCount
+
+// levelOf is the request's level: by rank, then by length; one lifted to keep its rank's floor counts as urgent.
+func levelOf(w *dragonflypass.Waiting) int {
+	class := dragonflypass.ClassOf(w.Request.PromptTokens)
+	rank := w.Request.Rank
+	if w.Lifted && !isLong(w.Request.PromptTokens) {
+		rank = dragonflypass.RankUrgent
+	}
+	return int(rank)*dragonflypass.ClassCount + int(class)
+}
 
 // candidate describes the server to the placement policy.
-func (s *server) candidate(request *dragonflypass.PermitRequest, now time.Time) dragonflypass.Candidate {
+func (s *server) candidate(w *dragonflypass.Waiting, now time.Time) dragonflypass.Candidate {
 	return dragonflypass.Candidate{
 		Name:        string(s.declared.ID),
-		Wait:        max(0, s.shortFree.Sub(now)) + s.prefill(request.PromptTokens),
+		Wait:        max(0, s.levels[levelOf(w)].Sub(now)) + s.prefill(w.Request.PromptTokens),
 		Outstanding: s.streams,
 		Free:        s.free(),
 	}
 }
 
 // start accounts for a granted request.
-func (s *server) start(request *dragonflypass.PermitRequest, now time.Time) {
+func (s *server) start(w *dragonflypass.Waiting, now time.Time) {
+	request := &w.Request
 	s.reserved += request.Tokens()
 	s.streams++
 	span := s.prefill(request.PromptTokens)
@@ -127,7 +149,9 @@
 	if s.hasLong {
 		span = time.Duration(float64(span) / (1 - longShare))
 	}
-	s.shortFree = later(s.shortFree, now).Add(span)
+	for level := levelOf(w); level < levelCount; level++ {
+		s.levels[level] = later(s.levels[level], now).Add(span)
+	}
 }
 
 // stop accounts for the end of a request.
--- /dev/null
+++ b/core/sequencer/doc.go
@@ -0,0 +1,3 @@
+// Package sequencer is the baseline queue: first come, first served, whatever
+// the rank, account or length.
+package sequencer
--- /dev/null
+++ b/experiment/modeler/modeler.go
@@ -0,0 +1,484 @@
+package modeler
+
+import (
+	"context"
+	"fmt"
+	"net/netip"
+	"time"
+
+	"github.com/dragonflypass/dragonflypass"
+	"github.com/dragonflypass/dragonflypass/core/composer"
+	"github.com/dragonflypass/dragonflypass/core/dispatcher"
+	"github.com/dragonflypass/dragonflypass/experiment/tracer"
+	"github.com/dragonflypass/dragonflypass/internal/fake"
+)
+
+const (
+	// heartbeat is the time between two digests.
+	heartbeat = time.Second
+	// reportEvery and reportLag are the time between two reports of a server and their age.
+	reportEvery = 500 * time.Millisecond
+	reportLag   = 500 * time.Millisecond
+	// downTime is how long a server that died stays down.
+	downTime = 5 * time.Second
+	// ownerTries is the number of owners asked for one permit.
+	ownerTries = 3
+	// breakLimit is the number of deaths of its server after which a request fails.
+	breakLimit = 3
+	model      = dragonflypass.ModelID("model")
+)
+
+// Policy is a way of queueing and placing, behind the interfaces of the root package.
+type Policy struct {
+	Name string
+	// Queue makes the queue of one owner.
+	Queue func(policies func() [dragonflypass.RankCount]dragonflypass.RankPolicy) dragonflypass.Queue
+	// Server places within an owner.
+	Server func() dragonflypass.Placement
+	// Owner places among owners, nil for the dispatcher's own order.
+	Owner func() dragonflypass.Placement
+}
+
+// Site is what the requests run on.
+type Site struct {
+	Name    string
+	Nodes   int
+	Servers int
+	Ranks   [dragonflypass.RankCount]dragonflypass.RankPolicy
+	// Prefill and Decode are each server's rates in tokens a second, Memory is in tokens.
+	Prefill float64
+	Decode  float64
+	Memory  int
+	Slots   int
+}
+
+// Capacity is the prompt tokens a second that the servers process together.
+func (s Site) Capacity() float64 { return float64(s.Servers) * s.Prefill }
+
+// Result is what came of one request.
+type Result struct {
+	tracer.Request
+	// First is the time to the first token, zero when there was none.
+	First time.Duration
+	// Whole is the time to the end.
+	Whole time.Duration
+	// Granted is set when the request got a permit.
+	Granted bool
+	Done    bool
+	// Missed is set when a request with a permit did not end by its deadline.
+	Missed bool
+	// Failed is set when the request failed after it was granted.
+	Failed bool
+	// DoneAt is the instant of the end since the start of the run.
+	DoneAt time.Duration
+}
+
+// Event is something that happens to the site at an instant of the run.
+type Event struct {
+	At  time.Duration
+	Run func(m *Model)
+}
+
+// Model is a run in progress.
+type Model struct {
+	Site    Site
+	Clock   *fake.Clock
+	Results []*Result
+
+	policy   Policy
+	nodes    []*node
+	engines  map[dragonflypass.ServerID]*engine
+	start    time.Time
+	config   *dragonflypass.Configuration
+	sequence uint64
+	turn     int
+}
+
+// node is the owner's and entry's decisions of one VM.
+type node struct {
+	*composer.Node
+
+	vm      dragonflypass.VM
+	members []dragonflypass.Member
+	down    bool
+	// placement orders owners, nil for the dispatcher's own order.
+	placement dragonflypass.Placement
+}
+
+// Others returns the other VMs with their lagging digests.
+func (n *node) Others() []dragonflypass.Member { return n.members }
+
+// Attend returns the context as it is.
+func (n *node) Attend(ctx context.Context, _ dragonflypass.VMID) (context.Context, context.CancelFunc) {
+	return ctx, func() {}
+}
+
+// Run drives the trace through the site under the policy until the end and returns what came of each request.
+func Run(site Site, policy Policy, trace []tracer.Request, until time.Duration, events ...Event) []*Result {
+	start := time.Date(2026, 12, 4, 8, 0, 0, 0, time.UTC)
+	m := &Model{Site: site, Clock: fake.NewClock(start), policy: policy, start: start, engines: make(map[dragonflypass.ServerID]*engine)}
+	m.configure(nil)
+	m.build()
+	for _, request := range trace {
+		m.Clock.After(request.At, func() { m.arrive(request) })
+	}
+	for _, event := range events {
+		m.Clock.After(event.At, func() { event.Run(m) })
+	}
+	m.Clock.Run(start.Add(until))
+	return m.Results
+}
+
+func (m *Model) zone(i int) dragonflypass.AvailabilityZone {
+	return []dragonflypass.AvailabilityZone{"a", "b", "c"}[i%3]
+}
+
+// configure sets the configuration in force, with the windows.
+func (m *Model) configure(windows []dragonflypass.Window) {
+	var items []dragonflypass.Versioned
+	add := func(section dragonflypass.Section, name string, item dragonflypass.Item) {
+		items = append(items, dragonflypass.Versioned{Key: dragonflypass.ItemKey{Section: section, Name: name}, Version: 1, Item: item})
+	}
+	for rank := range dragonflypass.Rank(dragonflypass.RankCount) {
+		add(dragonflypass.SectionRank, rank.String(), dragonflypass.Item{Rank: &m.Site.Ranks[rank]})
+	}
+	add(dragonflypass.SectionModel, string(model), dragonflypass.Item{Model: &dragonflypass.Model{ID: model, Limit: m.Site.Memory}})
+	for i := range m.Site.Servers {
+		id := dragonflypass.ServerID(fmt.Sprintf("server-%02d", i))
+		add(dragonflypass.SectionServer, string(id), dragonflypass.Item{Server: &dragonflypass.BackendServer{
+			ID: id, Zone: m.zone(i), Address: netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, 0, 1, byte(i)}), 1),
+			Models: []dragonflypass.ModelID{model}, Memory: m.Site.Memory, Slots: m.Site.Slots, Prefill: m.Site.Prefill, Decode: m.Site.Decode,
+		}})
+	}
+	if len(windows) > 0 {
+		add(dragonflypass.SectionSheet, "day", dragonflypass.Item{Sheet: &dragonflypass.Sheet{Day: "day", Windows: windows}})
+	}
+	m.config = dragonflypass.NewConfiguration(1, items)
+}
+
+// build makes the nodes and engines and starts their periodic work.
+func (m *Model) build() {
+	for _, server := range m.config.Servers {
+		m.engines[server.ID] = &engine{declared: *server, clock: m.Clock, epoch: 1}
+	}
+	meter := fake.NewMeter()
+	for i := range m.Site.Nodes {
+		vm := dragonflypass.VM{ID: dragonflypass.VMID(fmt.Sprintf("vm-%d", i)), Zone: m.zone(i)}
+		n := &node{vm: vm}
+		if m.policy.Owner != nil {
+			n.placement = m.policy.Owner()
+		}
+		n.Node = composer.Compose(composer.Defaults(vm, 1), composer.Ports{Timer: m.Clock, Pool: m.Clock, Engine: noEngine{}, Meter: meter, Logger: fake.Logger{}})
+		current := func() *dragonflypass.Configuration { return m.config }
+		n.Scheduler.Current = current
+		n.Scheduler.Queue = m.policy.Queue(func() [dragonflypass.RankCount]dragonflypass.RankPolicy { return m.Site.Ranks })
+		n.Scheduler.Choice = m.policy.Server()
+		n.Scheduler.Lease = 24 * time.Hour
+		n.Scheduler.Lost = func(dragonflypass.ServerID) {}
+		n.Dispatcher.Current, n.Dispatcher.Owners = current, n
+		m.nodes = append(m.nodes, n)
+	}
+	m.assign()
+	m.Clock.Every(dragonflypass.JobReport, reportEvery, func(context.Context) { m.report() })
+	m.Clock.Every(dragonflypass.JobHeartbeat, heartbeat, func(context.Context) { m.exchange() })
+	m.Clock.Every(dragonflypass.JobSweep, 100*time.Millisecond, func(ctx context.Context) {
+		for _, n := range m.nodes {
+			n.Scheduler.Sweep(ctx)
+		}
+	})
+	m.report()
+	m.exchange()
+}
+
+// assign gives each node the servers that it owns.
+func (m *Model) assign() {
+	var live []dragonflypass.VM
+	for _, n := range m.nodes {
+		if !n.down {
+			live = append(live, n.vm)
+		}
+	}
+	for _, n := range m.nodes {
+		n.Assigner.Live = func() []dragonflypass.VM { return live }
+		n.Assigner.Current = func() *dragonflypass.Configuration { return m.config }
+		n.Assigner.Assign()
+	}
+}
+
+func (m *Model) owner(id dragonflypass.ServerID) *node {
+	owner := m.nodes[0].Assigner.Owner(id)
+	for _, n := range m.nodes {
+		if n.vm.ID == owner {
+			return n
+		}
+	}
+	return m.nodes[0]
+}
+
+func (m *Model) report() {
+	for i := range m.Site.Servers {
+		e := m.engines[dragonflypass.ServerID(fmt.Sprintf("server-%02d", i))]
+		n := m.owner(e.declared.ID)
+		if e.down {
+			if crash, news := n.Scheduler.Unreachable(e.declared.ID, true); news {
+				m.spread(n, crash)
+			}
+			continue
+		}
+		report := e.report(reportLag)
+		if crash, news := n.Scheduler.Restarted(report); news {
+			m.spread(n, crash)
+		}
+		n.Scheduler.Report(report)
+	}
+}
+
+// spread tells the other nodes of a crash.
+func (m *Model) spread(from *node, crash dragonflypass.Crash) {
+	for _, n := range m.nodes {
+		if n != from && n.Guard.Crashed(crash) {
+			n.Scheduler.Recheck()
+		}
+	}
+	from.Scheduler.Recheck()
+}
+
+func (m *Model) exchange() {
+	now := m.Clock.Now()
+	for _, n := range m.nodes {
+		n.members = nil
+		for _, other := range m.nodes {
+			if other != n && !other.down {
+				n.members = append(n.members, dragonflypass.Member{VM: other.vm, State: dragonflypass.MemberLive, Heard: now, Loads: other.Scheduler.Loads()})
+			}
+		}
+	}
+}
+
+// job is one request on its way.
+type job struct {
+	*Result
+
+	entry    *node
+	arrived  time.Time
+	deadline time.Time
+	made     int
+	breaks   int
+	exclude  []dragonflypass.ServerID
+	waiting  *dragonflypass.Waiting
+	queuedAt *node
+	engine   *engine
+	stream   *stream
+	ended    bool
+}
+
+func (m *Model) arrive(request tracer.Request) {
+	result := &Result{Request: request}
+	m.Results = append(m.Results, result)
+	for m.nodes[m.turn%len(m.nodes)].down {
+		m.turn++
+	}
+	entry := m.nodes[m.turn%len(m.nodes)]
+	m.turn++
+	now := m.Clock.Now()
+	j := &job{Result: result, entry: entry, arrived: now, deadline: now.Add(m.Site.Ranks[request.Rank].Within)}
+	m.Clock.At(dragonflypass.JobSweep, j.deadline, func(context.Context) { m.expire(j) })
+	m.ask(j)
+}
+
+func (m *Model) permitRequest(j *job) dragonflypass.PermitRequest {
+	m.sequence++
+	prompt, output := j.Prompt+j.made, j.Output-j.made
+	run := time.Duration((float64(prompt)/m.Site.Prefill + float64(output)/m.Site.Decode) * float64(time.Second))
+	request := &dragonflypass.Request{PromptTokens: j.Prompt, Arrived: j.arrived}
+	return dragonflypass.PermitRequest{
+		Stream:  dragonflypass.StreamID{VM: j.entry.vm.ID, Incarnation: 1, Sequence: m.sequence},
+		Account: j.Account, Weight: 1, Model: model, Rank: j.Rank, PromptTokens: prompt, OutputTokens: output, ExpectedTokens: output,
+		Fingerprint: dragonflypass.Fingerprint{Account: j.Account, Model: model, Body: j.Body},
+		Deadline:    j.deadline, LatestStart: j.deadline.Add(-run), Target: dispatcher.Target(request, m.Site.Ranks[j.Rank]),
+		Breaks: j.breaks, Exclude: j.exclude,
+	}
+}
+
+// ask queues the request at the owners in the policy's order until one takes it.
+func (m *Model) ask(j *job) {
+	request := m.permitRequest(j)
+	owners := m.order(j, &request)
+	m.askNext(j, request, owners, 0)
+}
+
+func (m *Model) order(j *job, request *dragonflypass.PermitRequest) []*node {
+	byID := make(map[dragonflypass.VMID]*node, len(m.nodes))
+	for _, n := range m.nodes {
+		byID[n.vm.ID] = n
+	}
+	var order []*node
+	if m.policy.Owner == nil {
+		for _, vm := range j.entry.Dispatcher.Order(request) {
+			order = append(order, byID[vm.ID])
+		}
+		return order
+	}
+	var candidates []dragonflypass.Candidate
+	for _, n := range m.nodes {
+		if c, ok := candidate(n); ok && !n.down {
+			candidates = append(candidates, c)
+		}
+	}
+	j.entry.placement.Order(candidates)
+	for _, c := range candidates {
+		order = append(order, byID[dragonflypass.VMID(c.Name)])
+	}
+	return order
+}
+
+// candidate describes an owner to a baseline.
+func candidate(n *node) (dragonflypass.Candidate, bool) {
+	c := dragonflypass.Candidate{Name: string(n.vm.ID)}
+	loads := n.Scheduler.Loads()
+	for _, load := range loads {
+		c.Outstanding += load.Streams
+	}
+	return c, len(loads) > 0
+}
+
+func (m *Model) askNext(j *job, request dragonflypass.PermitRequest, owners []*node, try int) {
+	if try >= min(ownerTries, len(owners)) {
+		m.refuse(j)
+		return
+	}
+	owner := owners[try]
+	j.queuedAt = owner
+	j.waiting = &dragonflypass.Waiting{Request: request, Since: m.Clock.Now(), Grant: func(p dragonflypass.Permit, err error) {
+		j.waiting = nil
+		if err != nil {
+			m.sequence++
+			request.Stream.Sequence = m.sequence
+			m.askNext(j, request, owners, try+1)
+			return
+		}
+		m.granted(j, owner, p, request)
+	}}
+	owner.Scheduler.Enqueue(j.waiting)
+}
+
+// refuse ends a request that no owner took.
+func (m *Model) refuse(j *job) {
+	j.ended = true
+	j.Failed = j.Granted
+	j.Whole = m.Clock.Now().Sub(j.arrived)
+}
+
+func (m *Model) granted(j *job, owner *node, p dragonflypass.Permit, request dragonflypass.PermitRequest) {
+	e := m.engines[p.Server]
+	release := dragonflypass.PermitRelease{Stream: request.Stream, Server: p.Server, Outcome: dragonflypass.OutcomeUnsent}
+	if j.ended || e.down {
+		owner.Scheduler.Release(release)
+		if !j.ended {
+			j.exclude = append(j.exclude, p.Server)
+			m.ask(j)
+		}
+		return
+	}
+	j.Granted, j.engine = true, e
+	j.stream = &stream{
+		id: request.Stream, priority: p.Priority, prompt: request.PromptTokens, output: request.OutputTokens, reserved: request.Tokens(),
+		first: func() {
+			if j.First == 0 {
+				j.First = m.Clock.Now().Sub(j.arrived)
+			}
+		},
+		end:    func() { m.finished(j, owner, p) },
+		broken: func() { m.broke(j, owner, p) },
+	}
+	if j.Crashes {
+		m.Clock.After(50*time.Millisecond, func() { m.kill(e) })
+	}
+	e.start(j.stream)
+}
+
+func (m *Model) finished(j *job, owner *node, p dragonflypass.Permit) {
+	j.ended, j.Done = true, true
+	j.Whole = m.Clock.Now().Sub(j.arrived)
+	j.DoneAt = m.Clock.Now().Sub(m.start)
+	owner.Scheduler.Release(dragonflypass.PermitRelease{Stream: p.Stream, Server: p.Server, OutputTokens: j.stream.made, Outcome: dragonflypass.OutcomeDone})
+}
+
+func (m *Model) broke(j *job, owner *node, p dragonflypass.Permit) {
+	j.made += j.stream.made
+	j.breaks++
+	j.exclude = append(j.exclude, p.Server)
+	owner.Scheduler.Release(dragonflypass.PermitRelease{Stream: p.Stream, Server: p.Server, Outcome: dragonflypass.OutcomeLost})
+	if j.breaks >= breakLimit {
+		m.refuse(j)
+		return
+	}
+	m.Clock.After(time.Millisecond, func() { m.ask(j) })
+}
+
+// expire ends a request at its deadline.
+func (m *Model) expire(j *job) {
+	if j.ended {
+		return
+	}
+	j.ended = true
+	j.Missed = j.Granted
+	j.Whole = m.Clock.Now().Sub(j.arrived)
+	if j.waiting != nil {
+		j.queuedAt.Scheduler.Withdraw(j.waiting)
+		return
+	}
+	if j.engine != nil {
+		j.engine.cancel(j.stream)
+		j.queuedAt.Scheduler.Release(dragonflypass.PermitRelease{Stream: j.stream.id, Server: j.engine.declared.ID, Outcome: dragonflypass.OutcomeCancelled})
+	}
+}
+
+func (m *Model) kill(e *engine) {
+	if e.down {
+		return
+	}
+	e.die()
+	m.report()
+	m.Clock.After(downTime, e.revive)
+}
+
+// LoseZone takes the servers and nodes of a zone away.
+func LoseZone(zone dragonflypass.AvailabilityZone) func(*Model) {
+	return func(m *Model) {
+		for _, n := range m.nodes {
+			n.down = n.down || n.vm.Zone == zone
+		}
+		for i := range m.Site.Servers {
+			if e := m.engines[dragonflypass.ServerID(fmt.Sprintf("server-%02d", i))]; e.declared.Zone == zone {
+				e.die()
+			}
+		}
+		m.assign()
+		m.report()
+		m.exchange()
+	}
+}
+
+// Windows puts windows on the servers with the indexes in force; each starts after the lead.
+func Windows(lead, length time.Duration, servers ...int) func(*Model) {
+	return func(m *Model) {
+		var windows []dragonflypass.Window
+		for _, i := range servers {
+			id := fmt.Sprintf("server-%02d", i)
+			start := m.Clock.Now().Add(lead)
+			windows = append(windows, dragonflypass.Window{Name: id, Start: start, End: start.Add(length)})
+			e := m.engines[dragonflypass.ServerID(id)]
+			m.Clock.After(lead, func() { e.die() })
+			m.Clock.After(lead+length, e.revive)
+		}
+		m.configure(windows)
+		m.assign()
+	}
+}
+
+// noEngine is an engine that the model's own stands in for.
+type noEngine struct{ dragonflypass.Engine }
+
+// Cancel does nothing.
+func (noEngine) Cancel(context.Context, netip.AddrPort, dragonflypass.StreamID) error { return nil }
--- a/ports.go
+++ b/ports.go
@@ -164,6 +164,8 @@
 type Waiting struct {
 	Request PermitRequest
 	Since   time.Time
+	// Lifted is set by the queue when the request is served because its rank is below its floor.
+	Lifted bool
 	// Grant is called once with the permit or the refusal, outside all locks.
 	Grant func(Permit, error)
 }
