Process long prompts behind all others, with a share of their own

Cause: short prompts of rank bulk waited at the engines behind long ones of rank normal (p99 of 6.3 s against 1.1 s without long prompts). Ruled out: servers kept free for late long prompts (switching that off left the figure at 6.3 s).

--- a/core/scheduler/digest.go
+++ b/core/scheduler/digest.go
@@ -8,9 +8,6 @@
 	"github.com/dragonflypass/dragonflypass"
 )
 
-// classTokens is a usual prompt length of each class in tokens, for predictions.
-var classTokens = [dragonflypass.ClassCount]int{1_000, 8_000, 64_000, 300_000}
-
 // Loads returns the digests of the owned servers that are up.
 func (s *Scheduler) Loads() []dragonflypass.ServerLoad {
 	now := s.Timer.Now()
@@ -41,9 +38,12 @@
 			backlog = max(backlog, time.Duration(float64(tokens)/rate*float64(time.Second)))
 		}
 	}
-	for class := range load.Wait {
-		load.Wait[class] = backlog + max(0, srv.levels[int(dragonflypass.RankNormal)*dragonflypass.ClassCount+class].Sub(now))
-		if isLong(classTokens[class]) && srv.hasLong {
+	for class := range dragonflypass.LengthClass(dragonflypass.ClassCount) {
+		load.Wait[class] = backlog
+		switch {
+		case class < dragonflypass.ClassLong:
+			load.Wait[class] += max(0, srv.levels[levelAt(dragonflypass.RankNormal, class)].Sub(now))
+		case srv.hasLong:
 			load.Wait[class] += max(0, srv.longFree.Sub(now))
 		}
 	}
--- a/core/scheduler/server.go
+++ b/core/scheduler/server.go
@@ -116,13 +116,21 @@
 const levelCount = dragonflypass.RankCount * dragonflypass.ClassCount
 
 // levelOf is the request's level: by rank, then by length; one lifted to keep its rank's floor counts as urgent.
+// Long prompts come after all others, which leave them longShare of the server.
 func levelOf(w *dragonflypass.Waiting) int {
-	class := dragonflypass.ClassOf(w.Request.PromptTokens)
+	if isLong(w.Request.PromptTokens) {
+		return levelCount - dragonflypass.RankCount + int(w.Request.Rank)
+	}
 	rank := w.Request.Rank
-	if w.Lifted && !isLong(w.Request.PromptTokens) {
+	if w.Lifted {
 		rank = dragonflypass.RankUrgent
 	}
-	return int(rank)*dragonflypass.ClassCount + int(class)
+	return levelAt(rank, dragonflypass.ClassOf(w.Request.PromptTokens))
+}
+
+// levelAt is the level of prompts of the rank and of a class that is not long.
+func levelAt(rank dragonflypass.Rank, class dragonflypass.LengthClass) int {
+	return int(rank)*int(dragonflypass.ClassLong) + int(class)
 }
 
 // candidate describes the server to the placement policy.
