Leave memory and slots to more urgent ranks, and slack before deadlines

Cause of late answers: a request was granted at the last instant at which it could end if it had the server to itself; beside others it ended late. Change: the latest start allows 15% and 250 ms. The service kept by a rank is now counted as it is processed, not at the end of requests.

--- a/core/dispatcher/prepare.go
+++ b/core/dispatcher/prepare.go
@@ -12,6 +12,9 @@
 	defaultOutput = 1024
 	// windowMargin is the time kept between the end of a request and the VM's own window.
 	windowMargin = time.Second
+	// startSlack multiplies the predicted run of a request, and startMargin is added to it, before its deadline.
+	startSlack  = 1.15
+	startMargin = 250 * time.Millisecond
 	// boundPrefillSlack and boundDecodeSlack multiply the predicted times of a request that must end before a window.
 	boundPrefillSlack = 2
 	boundDecodeSlack  = 1.25
@@ -119,15 +122,23 @@
 // A deadline set by the VM's window must not cut the answer, so its longest and slowest is allowed for.
 func (d *Dispatcher) latestStart(j *job, current *dragonflypass.Configuration) time.Time {
 	prefill, decode := rates(current, j.request.Model)
-	first := seconds(float64(j.request.PromptTokens+j.tokens) / prefill)
+	prompt := j.request.PromptTokens + j.tokens
 	if !j.bounded {
-		return j.request.Deadline.Add(-first - seconds(float64(max(0, j.request.ExpectedTokens-j.tokens))/decode))
+		return LatestStart(j.request.Deadline, prompt, max(0, j.request.ExpectedTokens-j.tokens), prefill, decode)
 	}
 	left := max(0, j.request.OutputTokens-j.tokens)
 	rest := max(seconds(float64(left)/decode), time.Duration(left)*d.Estimator.Pace(j.request.Model))
+	first := seconds(float64(prompt) / prefill)
 	return j.request.Deadline.Add(-boundPrefillSlack*first - time.Duration(boundDecodeSlack*float64(rest)))
 }
 
+// LatestStart is the instant at which a prompt and answer of the given tokens must start to end by the deadline,
+// at the given rates in tokens a second and with slack for the other work of the server.
+func LatestStart(deadline time.Time, prompt, output int, prefill, decode float64) time.Time {
+	run := seconds(float64(prompt)/prefill + float64(output)/decode)
+	return deadline.Add(-startMargin - time.Duration(startSlack*float64(run)))
+}
+
 func seconds(value float64) time.Duration { return time.Duration(value * float64(time.Second)) }
 
 // Target is the instant by which the first token is due: the rank's target, longer in proportion for long prompts.
--- a/core/scheduler/scheduler.go
+++ b/core/scheduler/scheduler.go
@@ -236,7 +236,7 @@
 			continue
 		}
 		switch {
-		case srv.free() < request.Tokens() || srv.streams >= srv.slots:
+		case !srv.holds(request):
 			if srv.declared.Memory >= request.Tokens() && srv.freer(freest) {
 				freest = srv
 			}
--- a/core/scheduler/server.go
+++ b/core/scheduler/server.go
@@ -60,6 +60,22 @@
 	return s.declared.ID < other.declared.ID
 }
 
+// headrooms are the parts of a server's memory and slots that a rank leaves to more urgent ones.
+var headrooms = [dragonflypass.RankCount]float64{0, 0.05, 0.1}
+
+// holds reports whether the server has the memory and a slot for the request, beside what its rank leaves free.
+// A request that would never fit so has the server when it is empty.
+func (s *server) holds(request *dragonflypass.PermitRequest) bool {
+	if s.free() < request.Tokens() || s.streams >= s.slots {
+		return false
+	}
+	part := headrooms[request.Rank]
+	if s.free()-request.Tokens() >= int(part*float64(s.declared.Memory)) && s.streams < s.slots-int(part*float64(s.slots)) {
+		return true
+	}
+	return s.streams == 0
+}
+
 // mayServe reports whether the server is up, runs the model and is not excluded.
 func (s *server) mayServe(request *dragonflypass.PermitRequest) bool {
 	if !s.reachable || !s.reported || !s.declared.Serves(request.Model) {
--- a/experiment/evaluator/evaluator.go
+++ b/experiment/evaluator/evaluator.go
@@ -33,7 +33,7 @@
 type run struct {
 	policy   string
 	scenario string
-	results  []*modeler.Result
+	modeler.Outcome
 }
 
 // Evaluate runs every scenario under every policy, prints the tables and returns the checks of the first policy.
@@ -72,7 +72,7 @@
 			i++
 			running.Go(func() {
 				slots <- struct{}{}
-				runs[at].results = Run(site, policy, scenario, seed)
+				runs[at].Outcome = Run(site, policy, scenario, seed)
 				<-slots
 			})
 		}
@@ -88,9 +88,9 @@
 	for _, r := range runs {
 		fmt.Fprintf(table, "%s\t%s\t", r.scenario, r.policy)
 		for class := range dragonflypass.LengthClass(dragonflypass.ClassCount) {
-			fmt.Fprintf(table, "%s\t", spread(r.results, ofClass(class)))
+			fmt.Fprintf(table, "%s\t", spread(r.Results, ofClass(class)))
 		}
-		c := count(r.results, func(*modeler.Result) bool { return true })
+		c := count(r.Results, func(*modeler.Result) bool { return true })
 		fmt.Fprintf(table, "%d\t%d\t%d\t%d\t\n", c.Done, c.Refused, c.Failed, c.Missed)
 	}
 	_ = table.Flush()
@@ -103,9 +103,9 @@
 	for _, r := range runs {
 		fmt.Fprintf(table, "%s\t%s\t", r.scenario, r.policy)
 		for rank := range dragonflypass.Rank(dragonflypass.RankCount) {
-			fmt.Fprintf(table, "%s\t", spread(r.results, both(ofRank(rank), during(faultAt, faultEnd))))
+			fmt.Fprintf(table, "%s\t", spread(r.Results, both(ofRank(rank), during(faultAt, faultEnd))))
 		}
-		for _, part := range served(r.results, faultAt, faultEnd) {
+		for _, part := range served(r.Outcome, faultAt, faultEnd) {
 			fmt.Fprintf(table, "%.0f%%\t", 100*part)
 		}
 		fmt.Fprintln(table)
@@ -115,36 +115,36 @@
 
 // check holds the project's own policy against the targets.
 func check(site modeler.Site, runs []run) []Check {
-	own := make(map[string][]*modeler.Result)
+	own := make(map[string]modeler.Outcome)
 	for _, r := range runs {
 		if r.policy == Policies(0)[0].Name {
-			own[r.scenario] = r.results
+			own[r.scenario] = r.Outcome
 		}
 	}
 	add := func(checks []Check, name, target, figure string, holds bool) []Check {
 		return append(checks, Check{Site: site.Name, Name: name, Target: target, Figure: figure, Holds: holds})
 	}
-	short := spread(own["steady"], ofClass(dragonflypass.ClassShort))
+	short := spread(own["steady"].Results, ofClass(dragonflypass.ClassShort))
 	checks := add(nil, "first token of prompts up to 2k at 70% load, p95", "at most "+targetFirst.String(), short.P95.String(), short.P95 <= targetFirst)
-	without := spread(own["steady without long prompts"], ofClass(dragonflypass.ClassShort))
+	without := spread(own["steady without long prompts"].Results, ofClass(dragonflypass.ClassShort))
 	blocked := ratio(short.P99, without.P99)
 	checks = add(checks, "short prompts' p99 with long ones over without", fmt.Sprintf("at most %g", targetBlocked), fmt.Sprintf("%.2f", blocked), blocked <= targetBlocked)
 	window := both(ofRank(dragonflypass.RankUrgent), during(faultAt, faultEnd))
-	calm := spread(own["steady"], window)
+	calm := spread(own["steady"].Results, window)
 	for _, name := range []string{"flood of bulk", "flood of normal"} {
-		urgent := ratio(spread(own[name], window).P95, calm.P95)
+		urgent := ratio(spread(own[name].Results, window).P95, calm.P95)
 		checks = add(checks, "urgent p95 in a "+name+" over unflooded", fmt.Sprintf("at most %g", targetUrgent), fmt.Sprintf("%.2f", urgent), urgent <= targetUrgent)
 	}
 	for _, name := range []string{"flood of bulk", "flood of normal", "flood of urgent"} {
 		checks = append(checks, checkFloors(site, name, own[name])...)
 	}
 	small := func(r *modeler.Result) bool { return r.Account != bigAccount && r.Rank == dragonflypass.RankNormal }
-	with := spread(own["one large account"], both(small, during(faultAt, faultEnd)))
-	alone := spread(own["steady"], both(small, during(faultAt, faultEnd)))
+	with := spread(own["one large account"].Results, both(small, during(faultAt, faultEnd)))
+	alone := spread(own["steady"].Results, both(small, during(faultAt, faultEnd)))
 	smaller := ratio(with.P95, alone.P95)
 	checks = add(checks, "small accounts' p95 beside a large one over without", fmt.Sprintf("at most %g", targetSmall), fmt.Sprintf("%.2f", smaller), smaller <= targetSmall)
 	for _, scenario := range Scenarios() {
-		c := count(own[scenario.Name], func(r *modeler.Result) bool { return true })
+		c := count(own[scenario.Name].Results, func(r *modeler.Result) bool { return true })
 		checks = add(checks, "admitted requests that missed their deadline: "+scenario.Name, "0", fmt.Sprint(c.Missed), c.Missed == 0)
 	}
 	return checks
@@ -153,11 +153,11 @@
 func ratio(a, b time.Duration) float64 { return float64(a) / float64(max(b, 1)) }
 
 // checkFloors holds each rank's part of the service in a flood against its floor, or its demand when that is less.
-func checkFloors(site modeler.Site, name string, results []*modeler.Result) []Check {
+func checkFloors(site modeler.Site, name string, outcome modeler.Outcome) []Check {
 	var checks []Check
 	// The first part of the flood is left out, in which the queues form.
 	from := faultAt + 20*time.Second
-	parts, asked := served(results, from, faultEnd), demand(site, results, from, faultEnd)
+	parts, asked := served(outcome, from, faultEnd), demand(site, outcome.Results, from, faultEnd)
 	for rank := range dragonflypass.Rank(dragonflypass.RankCount) {
 		wanted := targetFloor * min(site.Ranks[rank].Floor, asked[rank])
 		checks = append(checks, Check{
--- a/experiment/evaluator/figures.go
+++ b/experiment/evaluator/figures.go
@@ -94,20 +94,20 @@
 	return c
 }
 
-// served is each rank's part of the tokens served within the times.
-func served(results []*modeler.Result, from, until time.Duration) [dragonflypass.RankCount]float64 {
-	var tokens [dragonflypass.RankCount]float64
+// served is each rank's part of the tokens processed and generated within the times.
+func served(outcome modeler.Outcome, from, until time.Duration) [dragonflypass.RankCount]float64 {
+	var parts [dragonflypass.RankCount]float64
 	total := 0.0
-	for _, r := range results {
-		if r.Done && r.DoneAt >= from && r.DoneAt < until {
-			tokens[r.Rank] += float64(r.Prompt + r.Output)
-			total += float64(r.Prompt + r.Output)
+	for second := int(from.Seconds()); second < min(int(until.Seconds()), len(outcome.Served)); second++ {
+		for rank, tokens := range outcome.Served[second] {
+			parts[rank] += float64(tokens)
+			total += float64(tokens)
 		}
 	}
-	for rank := range tokens {
-		tokens[rank] /= max(1, total)
+	for rank := range parts {
+		parts[rank] /= max(1, total)
 	}
-	return tokens
+	return parts
 }
 
 // demand is each rank's part of the site's capacity that was asked for within the times.
--- a/experiment/evaluator/scenario.go
+++ b/experiment/evaluator/scenario.go
@@ -173,7 +173,7 @@
 }
 
 // Run runs a scenario.
-func Run(site modeler.Site, policy modeler.Policy, scenario Scenario, seed uint64) []*modeler.Result {
+func Run(site modeler.Site, policy modeler.Policy, scenario Scenario, seed uint64) modeler.Outcome {
 	trace := tracer.Make(seed, scenario.Loads(site)...)
 	if scenario.Extra != nil {
 		trace = append(trace, scenario.Extra(site)...)
--- a/experiment/modeler/engine.go
+++ b/experiment/modeler/engine.go
@@ -21,11 +21,14 @@
 	running  bool
 	streams  []*stream
 	reports  []dragonflypass.ServerReport
+	// serve counts tokens processed or generated for a rank.
+	serve func(rank dragonflypass.Rank, tokens int)
 }
 
 // stream is one request running at an engine.
 type stream struct {
 	id       dragonflypass.StreamID
+	rank     dragonflypass.Rank
 	priority int
 	prompt   int
 	filled   int
@@ -65,6 +68,7 @@
 			chunk := min(left, s.prompt-s.filled)
 			s.filled += chunk
 			left -= chunk
+			e.serve(s.rank, chunk)
 		}
 	}
 	span = time.Duration(float64(chunkTokens-left) / e.declared.Prefill * float64(time.Second))
@@ -84,6 +88,7 @@
 			continue
 		}
 		s.made++
+		e.serve(s.rank, 1)
 		if s.made == 1 {
 			s.first()
 		}
--- a/experiment/modeler/modeler.go
+++ b/experiment/modeler/modeler.go
@@ -69,8 +69,6 @@
 	Missed bool
 	// Failed is set when the request failed after it was granted.
 	Failed bool
-	// DoneAt is the instant of the end since the start of the run.
-	DoneAt time.Duration
 }
 
 // Event is something that happens to the site at an instant of the run.
@@ -92,6 +90,7 @@
 	config   *dragonflypass.Configuration
 	sequence uint64
 	turn     int
+	served   [][dragonflypass.RankCount]int
 }
 
 // node is the owner's and entry's decisions of one VM.
@@ -113,8 +112,15 @@
 	return ctx, func() {}
 }
 
-// Run drives the trace through the site under the policy until the end and returns what came of each request.
-func Run(site Site, policy Policy, trace []tracer.Request, until time.Duration, events ...Event) []*Result {
+// Outcome is what came of a run.
+type Outcome struct {
+	Results []*Result
+	// Served is the tokens processed or generated for each rank in each second of the run.
+	Served [][dragonflypass.RankCount]int
+}
+
+// Run drives the trace through the site under the policy until the end.
+func Run(site Site, policy Policy, trace []tracer.Request, until time.Duration, events ...Event) Outcome {
 	start := time.Date(2026, 12, 4, 8, 0, 0, 0, time.UTC)
 	m := &Model{Site: site, Clock: fake.NewClock(start), policy: policy, start: start, engines: make(map[dragonflypass.ServerID]*engine)}
 	m.configure(nil)
@@ -126,7 +132,16 @@
 		m.Clock.After(event.At, func() { event.Run(m) })
 	}
 	m.Clock.Run(start.Add(until))
-	return m.Results
+	return Outcome{Results: m.Results, Served: m.served}
+}
+
+// serve counts tokens processed or generated for a rank.
+func (m *Model) serve(rank dragonflypass.Rank, tokens int) {
+	second := int(m.Clock.Now().Sub(m.start) / time.Second)
+	for len(m.served) <= second {
+		m.served = append(m.served, [dragonflypass.RankCount]int{})
+	}
+	m.served[second][rank] += tokens
 }
 
 func (m *Model) zone(i int) dragonflypass.AvailabilityZone {
@@ -159,7 +174,7 @@
 // build makes the nodes and engines and starts their periodic work.
 func (m *Model) build() {
 	for _, server := range m.config.Servers {
-		m.engines[server.ID] = &engine{declared: *server, clock: m.Clock, epoch: 1}
+		m.engines[server.ID] = &engine{declared: *server, clock: m.Clock, epoch: 1, serve: m.serve}
 	}
 	meter := fake.NewMeter()
 	for i := range m.Site.Nodes {
@@ -289,13 +304,12 @@
 func (m *Model) permitRequest(j *job) dragonflypass.PermitRequest {
 	m.sequence++
 	prompt, output := j.Prompt+j.made, j.Output-j.made
-	run := time.Duration((float64(prompt)/m.Site.Prefill + float64(output)/m.Site.Decode) * float64(time.Second))
 	request := &dragonflypass.Request{PromptTokens: j.Prompt, Arrived: j.arrived}
 	return dragonflypass.PermitRequest{
 		Stream:  dragonflypass.StreamID{VM: j.entry.vm.ID, Incarnation: 1, Sequence: m.sequence},
 		Account: j.Account, Weight: 1, Model: model, Rank: j.Rank, PromptTokens: prompt, OutputTokens: output, ExpectedTokens: output,
 		Fingerprint: dragonflypass.Fingerprint{Account: j.Account, Model: model, Body: j.Body},
-		Deadline:    j.deadline, LatestStart: j.deadline.Add(-run), Target: dispatcher.Target(request, m.Site.Ranks[j.Rank]),
+		Deadline:    j.deadline, LatestStart: dispatcher.LatestStart(j.deadline, prompt, output, m.Site.Prefill, m.Site.Decode), Target: dispatcher.Target(request, m.Site.Ranks[j.Rank]),
 		Breaks: j.breaks, Exclude: j.exclude,
 	}
 }
@@ -382,7 +396,7 @@
 	}
 	j.Granted, j.engine = true, e
 	j.stream = &stream{
-		id: request.Stream, priority: p.Priority, prompt: request.PromptTokens, output: request.OutputTokens, reserved: request.Tokens(),
+		id: request.Stream, rank: j.Rank, priority: p.Priority, prompt: request.PromptTokens, output: request.OutputTokens, reserved: request.Tokens(),
 		first: func() {
 			if j.First == 0 {
 				j.First = m.Clock.Now().Sub(j.arrived)
@@ -400,7 +414,6 @@
 func (m *Model) finished(j *job, owner *node, p dragonflypass.Permit) {
 	j.ended, j.Done = true, true
 	j.Whole = m.Clock.Now().Sub(j.arrived)
-	j.DoneAt = m.Clock.Now().Sub(m.start)
 	owner.Scheduler.Release(dragonflypass.PermitRelease{Stream: p.Stream, Server: p.Server, OutputTokens: j.stream.made, Outcome: dragonflypass.OutcomeDone})
 }
 
