Try servers closed to long prompts, asking again, and more for long prompts below their floor

Requests whose first token is overdue ask another owner; a third of a zone's servers take no long prompts; a long prompt of a rank below its floor keeps half of its server.

--- a/core/dispatcher/acquire.go
+++ b/core/dispatcher/acquire.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"context"
+	"errors"
 	"slices"
 	"time"
 
@@ -16,6 +17,8 @@
 	// same request has the same choices on every entry VM, so that copies of one
 	// that crashes its server reach no more owners than these.
 	ownerChoices = 3
+	// patienceMin is the shortest time for which a request waits at one owner.
+	patienceMin = 250 * time.Millisecond
 	// suspectChoices is that number for a request that may have crashed a server.
 	suspectChoices = 1
 )
@@ -42,8 +45,9 @@
 	}
 	choices := d.choices(&request)
 	for i := 0; i < len(owners) && i < choices; i++ {
+		last := i+1 >= min(len(owners), choices)
 		var permit dragonflypass.Permit
-		permit, err = d.ask(ctx, owners[i], request)
+		permit, err = d.askFor(ctx, owners[i], request, last)
 		if err == nil || ctx.Err() != nil {
 			return permit, err
 		}
@@ -55,10 +59,30 @@
 	return dragonflypass.Permit{}, err
 }
 
+// askFor waits for a permit of one owner, until the first token is due where there is another owner to ask.
+func (d *Dispatcher) askFor(ctx context.Context, owner dragonflypass.VM, request dragonflypass.PermitRequest, last bool) (dragonflypass.Permit, error) {
+	if last || dragonflypass.ClassOf(request.PromptTokens) >= dragonflypass.ClassLong {
+		return d.ask(ctx, owner, request)
+	}
+	limited, cancel := d.Timer.WithDeadline(ctx, Patience(d.Timer.Now(), &request))
+	defer cancel()
+	return d.ask(limited, owner, request)
+}
+
+// Patience is the instant up to which a request waits at one owner while there is another:
+// that at which its first token is due, but not less than patienceMin from now.
+func Patience(now time.Time, request *dragonflypass.PermitRequest) time.Time {
+	if least := now.Add(patienceMin); request.Target.Before(least) {
+		return least
+	}
+	return request.Target
+}
+
 // cannotServe reports whether an owner was no choice at all, as opposed to a busy one.
 func cannotServe(err error) bool {
 	refusal, ok := dragonflypass.AsRefusal(err)
-	return !ok || refusal.Reason == dragonflypass.ReasonNoServer || refusal.Reason == dragonflypass.ReasonLeaving
+	return !ok && !errors.Is(err, context.DeadlineExceeded) ||
+		ok && (refusal.Reason == dragonflypass.ReasonNoServer || refusal.Reason == dragonflypass.ReasonLeaving)
 }
 
 // awaitOwners returns the owners to ask, waiting a while for the first one.
--- a/core/ranker/ranker.go
+++ b/core/ranker/ranker.go
@@ -227,6 +227,9 @@
 	return math.Max(0, 1-q.ranks[rank].served/(floor*total))
 }
 
+// Below reports whether the rank has been given less than its floor.
+func (q *Queue) Below(rank dragonflypass.Rank) bool { return q.lack(rank) > 0 }
+
 // rankOrder returns the ranks with waiting requests in the order of service.
 func (q *Queue) rankOrder() []dragonflypass.Rank {
 	order := make([]dragonflypass.Rank, 0, dragonflypass.RankCount)
--- a/core/scheduler/digest.go
+++ b/core/scheduler/digest.go
@@ -8,6 +8,9 @@
 	"github.com/dragonflypass/dragonflypass"
 )
 
+// closedWait is the predicted wait of long prompts at a server that takes none.
+const closedWait = time.Hour
+
 // Loads returns the digests of the owned servers that are up.
 func (s *Scheduler) Loads() []dragonflypass.ServerLoad {
 	now := s.Timer.Now()
@@ -43,6 +46,8 @@
 		switch {
 		case class < dragonflypass.ClassLong:
 			load.Wait[class] += max(0, srv.levels[levelAt(dragonflypass.RankNormal, class)].Sub(now))
+		case srv.closed:
+			load.Wait[class] += closedWait
 		case srv.hasLong:
 			load.Wait[class] += max(0, srv.longFree.Sub(now))
 		}
--- a/core/scheduler/permit.go
+++ b/core/scheduler/permit.go
@@ -65,7 +65,7 @@
 		suspect: request.Breaks > 0 || s.Guard.Check(request.Fingerprint) != 0,
 	}
 	s.keep(p)
-	srv.start(w, now)
+	srv.start(w, now, s.Queue.Below)
 	if p.suspect {
 		srv.suspects++
 	}
--- a/core/scheduler/scheduler.go
+++ b/core/scheduler/scheduler.go
@@ -153,7 +153,7 @@
 func (s *Scheduler) possible(request *dragonflypass.PermitRequest, now time.Time) *dragonflypass.Refusal {
 	serving, fitting := false, false
 	for _, srv := range s.servers {
-		if !srv.mayServe(request) {
+		if !srv.mayServe(request) || (srv.closed && isLong(request.PromptTokens) && request.Only == "") {
 			continue
 		}
 		serving = true
@@ -236,6 +236,7 @@
 			continue
 		}
 		switch {
+		case srv.closed && isLong(request.PromptTokens) && request.Only == "":
 		case !srv.holds(request):
 			if srv.declared.Memory >= request.Tokens() && srv.freer(freest) {
 				freest = srv
--- a/core/scheduler/server.go
+++ b/core/scheduler/server.go
@@ -20,6 +20,8 @@
 	decodeSlack = 1.25
 	// longShare is the part of a server's prompt processing left to a long prompt beside short ones.
 	longShare = 0.25
+	// floorShare is that part while the long prompt's rank is below its floor.
+	floorShare = 0.5
 	// rateHalfLife is the time in which prompt tokens once granted count half in the observed rate.
 	rateHalfLife = 5 * time.Second
 	// rateSettles is the time of unbroken backlog after which the observed rate is used.
@@ -46,8 +48,11 @@
 	// longFree is the instant at which the long prompt given last is predicted to be processed.
 	longFree time.Time
 	// long is the stream of that prompt while it is being processed.
-	long    dragonflypass.StreamID
-	hasLong bool
+	long     dragonflypass.StreamID
+	hasLong  bool
+	longRank dragonflypass.Rank
+	// closed is set when the server takes no long prompts.
+	closed bool
 }
 
 func (s *server) free() int { return s.declared.Memory - s.reserved }
@@ -160,18 +165,23 @@
 }
 
 // start accounts for a granted request.
-func (s *server) start(w *dragonflypass.Waiting, now time.Time) {
+// Below reports whether a rank is below its floor.
+func (s *server) start(w *dragonflypass.Waiting, now time.Time, below func(dragonflypass.Rank) bool) {
 	request := &w.Request
 	s.reserved += request.Tokens()
 	s.streams++
 	span := s.prefill(request.PromptTokens)
 	if isLong(request.PromptTokens) {
-		s.long, s.hasLong = request.Stream, true
+		s.long, s.hasLong, s.longRank = request.Stream, true, request.Rank
 		s.longFree = now.Add(time.Duration(float64(span) / longShare))
 		return
 	}
 	if s.hasLong {
-		span = time.Duration(float64(span) / (1 - longShare))
+		share := longShare
+		if below(s.longRank) {
+			share = floorShare
+		}
+		span = time.Duration(float64(span) / (1 - share))
 	}
 	for level := levelOf(w); level < levelCount; level++ {
 		s.levels[level] = later(s.levels[level], now).Add(span)
@@ -223,6 +233,7 @@
 		srv.declared = declared
 		srv.closing = current.Closing(string(declared.ID), now)
 		srv.slots = current.Slots(&declared, now)
+		srv.closed = closedToLong(current, &declared)
 		kept[declared.ID] = srv
 	}
 	for _, p := range s.permits {
@@ -238,6 +249,29 @@
 	s.dispatch()
 }
 
+// closedPart is the part of a zone's servers of one kind that take no long prompts.
+const closedPart = 1.0 / 3
+
+// closedToLong reports whether the server is among those of its zone that are kept for short prompts: the
+// last by identifier of those that run its first model, of which at least one stays open.
+func closedToLong(current *dragonflypass.Configuration, server *dragonflypass.BackendServer) bool {
+	if len(server.Models) == 0 {
+		return false
+	}
+	zone, before := 0, 0
+	for _, other := range current.ServersOf(server.Models[0]) {
+		if other.Zone != server.Zone {
+			continue
+		}
+		zone++
+		if other.ID < server.ID {
+			before++
+		}
+	}
+	closed := int(closedPart * float64(zone))
+	return before >= zone-closed && zone > 1
+}
+
 // Owned returns the backend servers that this VM owns.
 func (s *Scheduler) Owned() []dragonflypass.BackendServer {
 	s.serversLock.Lock()
--- a/core/sequencer/sequencer.go
+++ b/core/sequencer/sequencer.go
@@ -59,6 +59,9 @@
 	return tokens
 }
 
+// Below reports no rank, for there are no floors.
+func (q *Queue) Below(dragonflypass.Rank) bool { return false }
+
 // Len returns the number of waiting requests.
 func (q *Queue) Len() int { return len(q.waiting) }
 
--- a/experiment/modeler/modeler.go
+++ b/experiment/modeler/modeler.go
@@ -373,7 +373,18 @@
 		}
 		m.granted(j, owner, p, request)
 	}}
-	owner.Scheduler.Enqueue(j.waiting)
+	waiting := j.waiting
+	owner.Scheduler.Enqueue(waiting)
+	if m.policy.Owner != nil || try+1 >= min(ownerTries, len(owners)) || dragonflypass.ClassOf(request.PromptTokens) >= dragonflypass.ClassLong {
+		return
+	}
+	m.Clock.At(dragonflypass.JobSweep, dispatcher.Patience(m.Clock.Now(), &request), func(context.Context) {
+		if j.waiting == waiting && owner.Scheduler.Withdraw(waiting) {
+			m.sequence++
+			request.Stream.Sequence = m.sequence
+			m.askNext(j, request, owners, try+1)
+		}
+	})
 }
 
 // refuse ends a request that no owner took.
--- a/ports.go
+++ b/ports.go
@@ -184,6 +184,8 @@
 	Wait(request *PermitRequest, rate float64, now time.Time) time.Duration
 	// Backlog returns the waiting prompt tokens of the model, up to and including the rank.
 	Backlog(model ModelID, rank Rank) int
+	// Below reports whether the rank has been given less than its floor.
+	Below(rank Rank) bool
 	// Len returns the number of waiting requests.
 	Len() int
 	// Expired takes out and returns the requests whose latest start has passed.
