Stop giving prompts to a server that is behind, and look again for owners

Cause of late answers in a flood of urgent work: an engine under a flood of prompts of its first level starved granted ones of the next; nothing told the owner. Change: a prompt that the report shows unprocessed after its predicted time stops further short prompts to that server; the slack before a deadline covers the time until that is known (2.5 s).

--- a/core/dispatcher/acquire.go
+++ b/core/dispatcher/acquire.go
@@ -36,18 +36,33 @@
 	serverCheck = 100 * time.Millisecond
 )
 
-// acquire gets a permit from one of the owners.
+// acquire gets a permit from one of the owners, looking for others a while when none of them can serve.
 func (d *Dispatcher) acquire(ctx context.Context, j *job) (dragonflypass.Permit, error) {
 	request := d.permitRequest(j)
-	owners, err := d.awaitOwners(ctx, &request)
-	if err != nil {
-		return dragonflypass.Permit{}, err
+	until := d.Timer.Now().Add(serverWait)
+	if request.LatestStart.Before(until) {
+		until = request.LatestStart
 	}
-	choices := d.choices(&request)
+	for {
+		permit, err := d.acquireOnce(ctx, &request)
+		if err == nil || ctx.Err() != nil || !cannotServe(err) {
+			return permit, err
+		}
+		if !d.Timer.Now().Before(until) || !d.fits(&request) || !d.pause(ctx, serverCheck) {
+			return dragonflypass.Permit{}, err
+		}
+	}
+}
+
+// acquireOnce asks the owners in order for a permit.
+func (d *Dispatcher) acquireOnce(ctx context.Context, request *dragonflypass.PermitRequest) (dragonflypass.Permit, error) {
+	owners := d.Order(request)
+	var err error = dragonflypass.Refuse(dragonflypass.ReasonNoServer, time.Second, "no backend server that fits is up for model %q", request.Model)
+	choices := d.choices(request)
 	for i := 0; i < len(owners) && i < choices; i++ {
 		last := i+1 >= min(len(owners), choices)
 		var permit dragonflypass.Permit
-		permit, err = d.askFor(ctx, owners[i], request, last)
+		permit, err = d.askFor(ctx, owners[i], *request, last)
 		if err == nil || ctx.Err() != nil {
 			return permit, err
 		}
@@ -85,26 +100,6 @@
 		ok && (refusal.Reason == dragonflypass.ReasonNoServer || refusal.Reason == dragonflypass.ReasonLeaving)
 }
 
-// awaitOwners returns the owners to ask, waiting a while for the first one.
-func (d *Dispatcher) awaitOwners(ctx context.Context, request *dragonflypass.PermitRequest) ([]dragonflypass.VM, error) {
-	until := d.Timer.Now().Add(serverWait)
-	if request.LatestStart.Before(until) {
-		until = request.LatestStart
-	}
-	for {
-		owners := d.Order(request)
-		if len(owners) > 0 {
-			return owners, nil
-		}
-		if !d.Timer.Now().Before(until) || !d.fits(request) {
-			return nil, dragonflypass.Refuse(dragonflypass.ReasonNoServer, time.Second, "no backend server that fits is up for model %q", request.Model)
-		}
-		if !d.pause(ctx, serverCheck) {
-			return nil, context.Cause(ctx)
-		}
-	}
-}
-
 // fits reports whether a declared server could run the request at all.
 func (d *Dispatcher) fits(request *dragonflypass.PermitRequest) bool {
 	for _, server := range d.Current().ServersOf(request.Model) {
--- a/core/dispatcher/prepare.go
+++ b/core/dispatcher/prepare.go
@@ -12,9 +12,10 @@
 	defaultOutput = 1024
 	// windowMargin is the time kept between the end of a request and the VM's own window.
 	windowMargin = time.Second
-	// startSlack multiplies the predicted run of a request, and startMargin is added to it, before its deadline.
+	// startSlack multiplies the predicted run of a request before its deadline, and startMargin is added to it:
+	// the time after which an owner knows that a server is behind.
 	startSlack  = 1.15
-	startMargin = 250 * time.Millisecond
+	startMargin = 2500 * time.Millisecond
 	// boundPrefillSlack and boundDecodeSlack multiply the predicted times of a request that must end before a window.
 	boundPrefillSlack = 2
 	boundDecodeSlack  = 1.25
--- a/core/scheduler/permit.go
+++ b/core/scheduler/permit.go
@@ -16,6 +16,8 @@
 	charged int
 	group   uint64
 	granted time.Time
+	// due is the instant at which the prompt is predicted to be processed, zero for long prompts.
+	due time.Time
 	// heard is the instant at which the entry VM last said that it uses the stream.
 	heard time.Time
 	// orphan is set when the stream is to be cancelled until the server no longer reports it.
@@ -66,6 +68,9 @@
 	}
 	s.keep(p)
 	srv.start(w, now, s.Queue.Below)
+	if !isLong(request.PromptTokens) {
+		p.due = srv.levels[levelOf(w)]
+	}
 	if p.suspect {
 		srv.suspects++
 	}
--- a/core/scheduler/report.go
+++ b/core/scheduler/report.go
@@ -38,6 +38,7 @@
 func (s *Scheduler) compare(srv *server, report dragonflypass.ServerReport, now time.Time) []dragonflypass.StreamID {
 	var cancel []dragonflypass.StreamID
 	reported := make(map[dragonflypass.StreamID]bool, len(report.Streams))
+	srv.behind = false
 	for _, stream := range report.Streams {
 		reported[stream.Stream] = true
 		p, ok := s.permits[stream.Stream]
@@ -47,6 +48,8 @@
 		}
 		if stream.Prefilled {
 			srv.prefilled(stream.Stream)
+		} else if !p.due.IsZero() && now.Sub(p.due) > s.Lag/2+lateTime {
+			srv.behind = true
 		}
 		if p.orphan {
 			cancel = append(cancel, stream.Stream)
--- a/core/scheduler/server.go
+++ b/core/scheduler/server.go
@@ -22,6 +22,8 @@
 	longShare = 0.25
 	// floorShare is that part while the long prompt's rank is below its floor.
 	floorShare = 0.5
+	// lateTime is the time after which a prompt that is not processed when predicted shows that its server is behind.
+	lateTime = 300 * time.Millisecond
 	// rateHalfLife is the time in which prompt tokens once granted count half in the observed rate.
 	rateHalfLife = 5 * time.Second
 	// rateSettles is the time of unbroken backlog after which the observed rate is used.
@@ -53,6 +55,8 @@
 	longRank dragonflypass.Rank
 	// closed is set when the server takes no long prompts.
 	closed bool
+	// behind is set while the server is late with prompts, so that it is given no more short ones.
+	behind bool
 }
 
 func (s *server) free() int { return s.declared.Memory - s.reserved }
@@ -120,7 +124,7 @@
 	if isLong(w.Request.PromptTokens) {
 		return !s.hasLong
 	}
-	return s.levels[levelOf(w)].Sub(now) <= prefillAhead
+	return !s.behind && s.levels[levelOf(w)].Sub(now) <= prefillAhead
 }
 
 // opens returns the next instant at which the server has room for a short prompt of some level, zero when it has for all.
