Start the lease of unknown streams at their VM's last heartbeat

Cause: TestEntryVMDiesWithAGroup failed about once in 100 runs: where the dead entry VM owned the servers too, the new owner gave its streams a whole lease from the first report on, and the last cancellation came at the bound of 14 s. Ruled out: streams started by a dead VM (mended in the fake, no effect). Change: streams of a silent VM lapse a lease after that VM was last heard.

--- a/core/composer/composer.go
+++ b/core/composer/composer.go
@@ -142,7 +142,7 @@
 	s.Queue = ranker.New(func() [dragonflypass.RankCount]dragonflypass.RankPolicy { return n.Configurer.Current().Ranks })
 	s.Choice = placer.Least{}
 	s.Current, s.Leaving = n.Configurer.Current, n.Detector.Leaving
-	s.Lease, s.Lag = o.Lease, o.Lag
+	s.Lease, s.Lag, s.Heartbeat = o.Lease, o.Lag, n.Detector.LastHeard
 	n.Scheduler = s
 
 	a := assigner.New()
--- a/core/detector/detector.go
+++ b/core/detector/detector.go
@@ -414,6 +414,18 @@
 	return others
 }
 
+// LastHeard returns the instant at which the VM was last heard if it is silent now, else the given one.
+func (d *Detector) LastHeard(id dragonflypass.VMID, now time.Time) time.Time {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	m, ok := d.members[id]
+	silent := ok && (m.State == dragonflypass.MemberSuspect || m.State == dragonflypass.MemberGone)
+	if !silent || m.Heard.IsZero() {
+		return now
+	}
+	return m.Heard
+}
+
 // Attend returns a context that ends when the VM is no longer heard or has started anew.
 func (d *Detector) Attend(ctx context.Context, id dragonflypass.VMID) (context.Context, context.CancelFunc) {
 	d.mutex.Lock()
--- a/core/scheduler/report.go
+++ b/core/scheduler/report.go
@@ -11,6 +11,12 @@
 // the server no longer knows are returned.
 func (s *Scheduler) Report(report dragonflypass.ServerReport) {
 	now := s.Timer.Now()
+	heard := make(map[dragonflypass.VMID]time.Time)
+	for _, stream := range report.Streams {
+		if _, known := heard[stream.Stream.VM]; !known {
+			heard[stream.Stream.VM] = s.Heartbeat(stream.Stream.VM, now)
+		}
+	}
 	s.serversLock.Lock()
 	s.queuesLock.Lock()
 	s.permitsLock.Lock()
@@ -23,7 +29,7 @@
 		srv.reachable, srv.reported, srv.epoch = true, true, report.Epoch
 		srv.closing = s.Current().Closing(string(report.Server), now)
 		srv.slots = s.Current().Slots(&srv.declared, now)
-		orphans = s.compare(srv, report, now)
+		orphans = s.compare(srv, report, heard, now)
 	}
 	s.permitsLock.Unlock()
 	s.queuesLock.Unlock()
@@ -35,7 +41,7 @@
 }
 
 // compare settles permits against the report and returns the streams to cancel; it is called with all tables locked.
-func (s *Scheduler) compare(srv *server, report dragonflypass.ServerReport, now time.Time) []dragonflypass.StreamID {
+func (s *Scheduler) compare(srv *server, report dragonflypass.ServerReport, heard map[dragonflypass.VMID]time.Time, now time.Time) []dragonflypass.StreamID {
 	var cancel []dragonflypass.StreamID
 	reported := make(map[dragonflypass.StreamID]bool, len(report.Streams))
 	srv.behind = false
@@ -43,7 +49,7 @@
 		reported[stream.Stream] = true
 		p, ok := s.permits[stream.Stream]
 		if !ok {
-			s.meet(srv, stream, now)
+			s.meet(srv, stream, heard[stream.Stream.VM], now)
 			continue
 		}
 		if stream.Prefilled {
@@ -64,13 +70,13 @@
 }
 
 // meet accounts for a reported stream without a permit, as after a change of
-// owner; its entry VM has until the lease ends to claim it.
-func (s *Scheduler) meet(srv *server, stream dragonflypass.StreamReport, now time.Time) {
+// owner; its entry VM has until the lease since its last heartbeat ends to claim it.
+func (s *Scheduler) meet(srv *server, stream dragonflypass.StreamReport, heard, now time.Time) {
 	if at, gone := s.released[stream.Stream]; gone && now.Sub(at) <= s.Lag {
 		return
 	}
 	held := dragonflypass.HeldStream{Stream: stream.Stream, Server: srv.declared.ID, Tokens: stream.Tokens}
-	s.keep(&permit{held: held, weight: 1, granted: now, heard: now, strange: true})
+	s.keep(&permit{held: held, weight: 1, granted: now, heard: heard, strange: true})
 	srv.reserved += stream.Tokens
 	srv.streams++
 }
--- a/core/scheduler/scheduler.go
+++ b/core/scheduler/scheduler.go
@@ -37,6 +37,8 @@
 	Lag time.Duration
 	// Leaving reports whether this VM's shutdown has begun.
 	Leaving func() bool
+	// Heartbeat returns the instant at which the VM was last heard if it is silent now, else the given one.
+	Heartbeat func(vm dragonflypass.VMID, now time.Time) time.Time
 	// Lost is called when a stream broke at a server.
 	Lost func(dragonflypass.ServerID)
 
--- a/experiment/modeler/modeler.go
+++ b/experiment/modeler/modeler.go
@@ -190,6 +190,7 @@
 		n.Scheduler.Choice = m.policy.Server()
 		n.Scheduler.Lease = 24 * time.Hour
 		n.Scheduler.Lost = func(dragonflypass.ServerID) {}
+		n.Scheduler.Heartbeat = func(_ dragonflypass.VMID, now time.Time) time.Time { return now }
 		n.Dispatcher.Current, n.Dispatcher.Owners = current, n
 		m.nodes = append(m.nodes, n)
 	}
--- a/internal/fake/engines.go
+++ b/internal/fake/engines.go
@@ -37,6 +37,9 @@
 
 // Stream runs a request; when the VM dies the engine is left as it is.
 func (v *View) Stream(ctx context.Context, call dragonflypass.EngineCall, accept func(dragonflypass.Frame) error) error {
+	if v.isDead() {
+		return dragonflypass.ErrUnavailable
+	}
 	ctx, cancel := v.life(ctx)
 	defer cancel()
 	return v.Engines.Stream(ctx, call, accept)
@@ -44,6 +47,9 @@
 
 // Prefill processes a part of a prompt; when the VM dies the engine is left as it is.
 func (v *View) Prefill(ctx context.Context, call dragonflypass.EngineCall) error {
+	if v.isDead() {
+		return dragonflypass.ErrUnavailable
+	}
 	ctx, cancel := v.life(ctx)
 	defer cancel()
 	return v.Engines.Prefill(ctx, call)
@@ -64,11 +70,18 @@
 
 // Cancel ends a stream unless the VM is dead.
 func (v *View) Cancel(ctx context.Context, server netip.AddrPort, stream dragonflypass.StreamID) error {
+	if v.isDead() {
+		return dragonflypass.ErrUnavailable
+	}
+	return v.Engines.Cancel(ctx, server, stream)
+}
+
+func (v *View) isDead() bool {
 	select {
 	case <-v.Dead:
-		return dragonflypass.ErrUnavailable
+		return true
 	default:
-		return v.Engines.Cancel(ctx, server, stream)
+		return false
 	}
 }
 
