--- a/adapter/messenger/message.go
+++ b/adapter/messenger/message.go
@@ -1,6 +1,7 @@
 package messenger
 
 import (
+	"slices"
 	"time"
 
 	"github.com/fxamacker/cbor/v2"
@@ -101,15 +102,21 @@
 	Incarnation uint64 `cbor:"inc"`
 	Config      uint64 `cbor:"config"`
 	Loads       []load `cbor:"loads,omitempty"`
-	Held        []held `cbor:"held,omitempty"`
+	// Kept holds the sequence numbers in rising order, each less the one before.
+	Kept []uint64 `cbor:"kept,omitempty"`
+	Held []held   `cbor:"held,omitempty"`
 }
 
+// load is written as an array, for every heartbeat has many.
 type load struct {
-	Server  string  `cbor:"server"`
-	Free    int     `cbor:"free"`
-	Streams int     `cbor:"streams"`
-	Wait    []int64 `cbor:"wait"`
-	Closing int64   `cbor:"closing,omitempty"`
+	_       struct{} `cbor:",toarray"`
+	Server  string
+	Free    int
+	Streams int
+	// Wait is in milliseconds.
+	Wait [dragonflypass.ClassCount]int64
+	// Closing is in nanoseconds since 1970, zero for none.
+	Closing int64
 }
 
 type held struct {
@@ -240,12 +247,17 @@
 		Incarnation: b.Incarnation, Config: uint64(b.Config),
 	}
 	for _, l := range b.Loads {
-		wire := load{Server: string(l.Server), Free: l.Free, Streams: l.Streams, Closing: toNano(l.Closing), Wait: make([]int64, len(l.Wait))}
+		wire := load{Server: string(l.Server), Free: l.Free, Streams: l.Streams, Closing: toNano(l.Closing)}
 		for i, wait := range l.Wait {
-			wire.Wait[i] = int64(wait)
+			wire.Wait[i] = wait.Milliseconds()
 		}
 		w.Loads = append(w.Loads, wire)
 	}
+	before := uint64(0)
+	for _, sequence := range slices.Sorted(slices.Values(b.Kept)) {
+		w.Kept = append(w.Kept, sequence-before)
+		before = sequence
+	}
 	for _, h := range b.Held {
 		w.Held = append(w.Held, held{
 			Stream: toStream(h.Stream), Server: string(h.Server), Tokens: h.Tokens, Fingerprint: toFingerprint(h.Fingerprint),
@@ -263,11 +275,16 @@
 	}
 	for _, l := range w.Loads {
 		full := dragonflypass.ServerLoad{Server: dragonflypass.ServerID(l.Server), Free: l.Free, Streams: l.Streams, Closing: fromNano(l.Closing)}
-		for i := range min(len(l.Wait), len(full.Wait)) {
-			full.Wait[i] = time.Duration(l.Wait[i])
+		for i, wait := range l.Wait {
+			full.Wait[i] = time.Duration(wait) * time.Millisecond
 		}
 		b.Loads = append(b.Loads, full)
 	}
+	sequence := uint64(0)
+	for _, step := range w.Kept {
+		sequence += step
+		b.Kept = append(b.Kept, sequence)
+	}
 	for _, h := range w.Held {
 		b.Held = append(b.Held, dragonflypass.HeldStream{
 			Stream: h.Stream.id(), Server: dragonflypass.ServerID(h.Server), Tokens: h.Tokens, Fingerprint: h.Fingerprint.fingerprint(),
@@ -316,3 +333,17 @@
 	}
 	return c
 }
+
+// Transcode encodes a heartbeat, decodes it again and returns its size in bytes.
+func Transcode(b dragonflypass.Heartbeat) int {
+	data := body(envelope{ID: 1, Kind: kindBeat, Body: body(toBeat(b))})
+	var e envelope
+	var wire beat
+	if cbor.Unmarshal(data, &e) != nil || cbor.Unmarshal(e.Body, &wire) != nil {
+		return 0
+	}
+	if _, err := wire.beat(); err != nil {
+		return 0
+	}
+	return len(data)
+}
--- a/core/detector/detector.go
+++ b/core/detector/detector.go
@@ -42,8 +42,8 @@
 	Config func() dragonflypass.Offset
 	// Loads returns the loads of the backend servers that this VM owns.
 	Loads func() []dragonflypass.ServerLoad
-	// Held returns this VM's open streams at backend servers that the other VM owns.
-	Held func(owner dragonflypass.VMID) []dragonflypass.HeldStream
+	// Held returns this VM's open streams that the other VM granted, and those at servers that it owns now.
+	Held func(owner dragonflypass.VMID) (kept []uint64, held []dragonflypass.HeldStream)
 	// Received is called with each heartbeat from another VM, outside all locks.
 	Received func(dragonflypass.Heartbeat)
 
@@ -252,12 +252,14 @@
 	d.mutex.Lock()
 	self := d.self()
 	d.mutex.Unlock()
+	kept, held := d.Held(to)
 	return dragonflypass.Heartbeat{
 		From:        self,
 		Incarnation: d.Incarnation,
 		Config:      d.Config(),
 		Loads:       d.Loads(),
-		Held:        d.Held(to),
+		Kept:        kept,
+		Held:        held,
 	}
 }
 
@@ -271,9 +273,19 @@
 // Exchange takes a heartbeat from another VM and returns this VM's own.
 func (d *Detector) Exchange(beat dragonflypass.Heartbeat) dragonflypass.Heartbeat {
 	d.take(beat)
+	d.contact(beat.From.ID)
 	return d.beat(beat.From.ID)
 }
 
+// contact notes that the VM has this one's news, so that one exchange in each interval serves both.
+func (d *Detector) contact(id dragonflypass.VMID) {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	if m, ok := d.members[id]; ok {
+		m.contacted = d.Timer.Now()
+	}
+}
+
 // take notes a heartbeat; one from an earlier incarnation of its VM is dropped.
 func (d *Detector) take(beat dragonflypass.Heartbeat) {
 	d.mutex.Lock()
--- a/core/dispatcher/acquire.go
+++ b/core/dispatcher/acquire.go
@@ -17,6 +17,8 @@
 	// same request has the same choices on every entry VM, so that copies of one
 	// that crashes its server reach no more owners than these.
 	ownerChoices = 3
+	// spareChoices is the number of further owners for the case that a choice cannot serve at all.
+	spareChoices = 2
 	// patienceMin is the shortest time for which a request waits at one owner.
 	patienceMin = 250 * time.Millisecond
 	// suspectChoices is that number for a request that may have crashed a server.
@@ -153,25 +155,30 @@
 	}
 }
 
-// Order returns the owners of servers that may run the request, in the order in which to ask them.
+// Order returns the owners of servers that may run the request, in the order in which to ask them:
+// the first few that rendezvous hashing gives the request, those among which to choose in the placement policy's order.
 func (d *Dispatcher) Order(request *dragonflypass.PermitRequest) []dragonflypass.VM {
 	current := d.Current()
+	choices := d.choices(request)
+	vms := make(map[string]dragonflypass.VM, choices+spareChoices)
+	candidates := make([]dragonflypass.Candidate, 0, choices+spareChoices)
 	others := d.Owners.Others()
-	vms := make(map[string]dragonflypass.VM, len(others)+1)
-	candidates := make([]dragonflypass.Candidate, 0, len(others)+1)
-	add := func(vm dragonflypass.VM, heard time.Time, loads []dragonflypass.ServerLoad) {
-		if candidate, ok := d.candidate(request, current, vm, heard, loads); ok {
+	for _, o := range d.ranked(request, others) {
+		var member dragonflypass.Member
+		if o.index == self {
+			member = dragonflypass.Member{VM: d.Self, Loads: d.Local.Loads()}
+		} else {
+			member = others[o.index]
+		}
+		if candidate, ok := d.candidate(request, current, member.VM, member.Heard, member.Loads); ok {
 			candidates = append(candidates, candidate)
-			vms[candidate.Name] = vm
+			vms[candidate.Name] = member.VM
 		}
-	}
-	add(d.Self, time.Time{}, d.Local.Loads())
-	for i := range others {
-		if others[i].State == dragonflypass.MemberLive {
-			add(others[i].VM, others[i].Heard, others[i].Loads)
+		if len(candidates) == choices+spareChoices {
+			break
 		}
 	}
-	d.rank(request, candidates)
+	d.Placement.Order(candidates[:min(choices, len(candidates))])
 	owners := make([]dragonflypass.VM, len(candidates))
 	for i := range candidates {
 		owners[i] = vms[candidates[i].Name]
@@ -179,6 +186,30 @@
 	return owners
 }
 
+// option is a live VM, by its place in the table of others, with its score for one request.
+type option struct {
+	score uint64
+	// index is self for this VM.
+	index int
+}
+
+// self stands for this VM among the options.
+const self = -1
+
+// ranked returns the live VMs in the order that rendezvous hashing gives the request.
+func (d *Dispatcher) ranked(request *dragonflypass.PermitRequest, others []dragonflypass.Member) []option {
+	key := string(request.Fingerprint.Body[:])
+	options := make([]option, 0, len(others)+1)
+	options = append(options, option{score: detector.Score(key, d.Self.ID), index: self})
+	for i := range others {
+		if others[i].State == dragonflypass.MemberLive {
+			options = append(options, option{score: detector.Score(key, others[i].VM.ID), index: i})
+		}
+	}
+	slices.SortFunc(options, func(a, b option) int { return cmp.Compare(b.score, a.score) })
+	return options
+}
+
 // choices is the number of owners among which the request is placed.
 func (d *Dispatcher) choices(request *dragonflypass.PermitRequest) int {
 	if request.Breaks > 0 || d.Guard.Check(request.Fingerprint) != quarantiner.Clear {
@@ -187,18 +218,6 @@
 	return ownerChoices
 }
 
-// rank orders the candidates: those that rendezvous hashing gives the request first, among them by the placement policy.
-func (d *Dispatcher) rank(request *dragonflypass.PermitRequest, candidates []dragonflypass.Candidate) {
-	choices := d.choices(request)
-	if len(candidates) > choices {
-		key := string(request.Fingerprint.Body[:])
-		slices.SortFunc(candidates, func(a, b dragonflypass.Candidate) int {
-			return cmp.Compare(detector.Score(key, dragonflypass.VMID(b.Name)), detector.Score(key, dragonflypass.VMID(a.Name)))
-		})
-	}
-	d.Placement.Order(candidates[:min(choices, len(candidates))])
-}
-
 // candidate sums an owner's digests up; ok is false when none of its servers may run the request.
 func (d *Dispatcher) candidate(request *dragonflypass.PermitRequest, current *dragonflypass.Configuration, vm dragonflypass.VM, heard time.Time, loads []dragonflypass.ServerLoad) (c dragonflypass.Candidate, ok bool) {
 	class := dragonflypass.ClassOf(request.PromptTokens)
--- a/core/dispatcher/stream.go
+++ b/core/dispatcher/stream.go
@@ -227,21 +227,24 @@
 	delete(d.held, stream)
 }
 
-// Held returns the open streams at backend servers that the VM owns or granted.
-func (d *Dispatcher) Held(owner dragonflypass.VMID) []dragonflypass.HeldStream {
+// Held returns the open streams that the VM granted, by their sequence numbers, and
+// those that another one granted at backend servers that the VM owns now.
+func (d *Dispatcher) Held(owner dragonflypass.VMID) (kept []uint64, held []dragonflypass.HeldStream) {
 	d.mutex.Lock()
 	all := make([]*heldStream, 0, len(d.held))
 	for _, h := range d.held {
 		all = append(all, h)
 	}
 	d.mutex.Unlock()
-	var held []dragonflypass.HeldStream
 	for _, h := range all {
-		if h.owner == owner || d.Owner(h.held.Server) == owner {
+		switch {
+		case h.owner == owner:
+			kept = append(kept, h.held.Stream.Sequence)
+		case d.Owner(h.held.Server) == owner:
 			held = append(held, h.held)
 		}
 	}
-	return held
+	return kept, held
 }
 
 // Open returns the number of open streams.
@@ -254,7 +257,8 @@
 // Sweep claims this VM's own streams, and ends those that stalled or whose
 // server is about to be taken down, so that their requests go on elsewhere.
 func (d *Dispatcher) Sweep(context.Context) {
-	d.Local.Heard(dragonflypass.Heartbeat{From: d.Self, Incarnation: d.Incarnation, Held: d.Held(d.Self.ID)})
+	kept, held := d.Held(d.Self.ID)
+	d.Local.Heard(dragonflypass.Heartbeat{From: d.Self, Incarnation: d.Incarnation, Kept: kept, Held: held})
 	now := d.Timer.Now()
 	current := d.Current()
 	type end struct {
--- a/core/scheduler/permit.go
+++ b/core/scheduler/permit.go
@@ -193,6 +193,12 @@
 	defer s.serversLock.Unlock()
 	s.permitsLock.Lock()
 	defer s.permitsLock.Unlock()
+	for _, sequence := range beat.Kept {
+		id := dragonflypass.StreamID{VM: beat.From.ID, Incarnation: beat.Incarnation, Sequence: sequence}
+		if p, ok := s.permits[id]; ok {
+			p.heard = now
+		}
+	}
 	for _, held := range beat.Held {
 		s.claim(held, now)
 	}
--- a/core/scheduler/scheduler.go
+++ b/core/scheduler/scheduler.go
@@ -202,7 +202,7 @@
 	s.permitsLock.Lock()
 	defer s.permitsLock.Unlock()
 	var grants []grant
-	for s.Queue.Len() > 0 {
+	for s.Queue.Len() > 0 && s.room(now) {
 		var chosen *server
 		holds := make(map[dragonflypass.ServerID]dragonflypass.Rank)
 		waiting := s.Queue.Next(now, func(w *dragonflypass.Waiting) bool {
@@ -218,6 +218,16 @@
 	return grants
 }
 
+// room reports whether any server takes any request now; it is called with the servers locked.
+func (s *Scheduler) room(now time.Time) bool {
+	for _, srv := range s.servers {
+		if srv.reachable && srv.streams < srv.slots && srv.takesAny(now) {
+			return true
+		}
+	}
+	return false
+}
+
 // fit returns the server that runs the request now, nil when none does.
 // A request past its target that only lacks memory keeps the freest server from its equals and inferiors.
 func (s *Scheduler) fit(w *dragonflypass.Waiting, now time.Time, holds map[dragonflypass.ServerID]dragonflypass.Rank) *server {
--- a/core/scheduler/server.go
+++ b/core/scheduler/server.go
@@ -127,6 +127,11 @@
 	return !s.behind && s.levels[levelOf(w)].Sub(now) <= prefillAhead
 }
 
+// takesAny reports whether the server's prompt processing has room for a request of some level.
+func (s *server) takesAny(now time.Time) bool {
+	return (!s.behind && s.levels[0].Sub(now) <= prefillAhead) || (!s.hasLong && !s.closed)
+}
+
 // opens returns the next instant at which the server has room for a short prompt of some level, zero when it has for all.
 func (s *server) opens(now time.Time) time.Time {
 	for _, free := range s.levels {
--- a/examples/site/run.sh
+++ b/examples/site/run.sh
@@ -6,6 +6,7 @@
 set -euo pipefail
 
 readonly port_base="${SITE_PORT:-18000}"
+readonly decode="${SITE_DECODE:-100}" slots="${SITE_SLOTS:-32}"
 readonly zones=(a b c)
 root=$(cd "$(dirname "$0")/../.." && pwd)
 command="${1:-}"
@@ -59,7 +60,7 @@
 	local servers=() i sum
 	for i in 1 2 3 4 5 6; do
 		servers+=("{\"id\": \"server-$i\", \"zone\": \"${zones[$(((i - 1) % 3))]}\", \"address\": \"127.0.0.1:$((port_base + 400 + i))\",
-		  \"models\": [\"small\"], \"memory\": 400000, \"slots\": 32, \"prefill\": 50000, \"decode\": 100}")
+		  \"models\": [\"small\"], \"memory\": 400000, \"slots\": $slots, \"prefill\": 50000, \"decode\": $decode}")
 	done
 	sum=$(printf 'demo-key' | sha256sum | cut -d' ' -f1)
 	(
@@ -88,7 +89,7 @@
 	launch platform "$folder/bin/standin" platform --listen "127.0.0.1:$port_base" --vms "$folder/vms.json"
 	await "http://127.0.0.1:$port_base/vms"
 	for i in 1 2 3 4 5 6; do
-		launch "server-$i" "$folder/bin/standin" server --listen "127.0.0.1:$((port_base + 400 + i))" --id "server-$i"
+		launch "server-$i" "$folder/bin/standin" server --listen "127.0.0.1:$((port_base + 400 + i))" --id "server-$i" --slots "$slots" --decode "$decode"
 	done
 	launch service "$folder/bin/standin" service --listen "127.0.0.1:$((port_base + 500))"
 	for i in 1 2 3 4 5 6; do
--- /dev/null
+++ b/experiment/gauger/gauger.go
@@ -0,0 +1,340 @@
+package gauger
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net/netip"
+	"runtime"
+	"testing"
+	"text/tabwriter"
+	"time"
+
+	"github.com/dragonflypass/dragonflypass"
+	"github.com/dragonflypass/dragonflypass/adapter/encoder"
+	"github.com/dragonflypass/dragonflypass/adapter/messenger"
+	"github.com/dragonflypass/dragonflypass/core/assigner"
+	"github.com/dragonflypass/dragonflypass/core/claimer"
+	"github.com/dragonflypass/dragonflypass/core/composer"
+	"github.com/dragonflypass/dragonflypass/core/configurer"
+	"github.com/dragonflypass/dragonflypass/internal/fake"
+)
+
+// Figure is one measured cost.
+type Figure struct {
+	Name string
+	Size string
+	// Time is the processor time of one operation.
+	Time time.Duration
+	// Allocations is the number of allocations of one operation.
+	Allocations int64
+	// Bytes is the size of a message or table in bytes, zero where that is not what was measured.
+	Bytes int
+}
+
+// Measure takes all figures.
+func Measure() []Figure {
+	var figures []Figure
+	for _, zone := range []int{9, 68} {
+		figures = append(figures, placement(zone))
+	}
+	for _, queued := range []int{100, 1_000, 10_000} {
+		figures = append(figures, grant(queued))
+	}
+	for _, size := range []struct{ loads, held int }{{3, 0}, {13, 0}, {13, 8}, {13, 500}} {
+		figures = append(figures, heartbeat(size.loads, size.held))
+	}
+	for _, size := range []struct{ accounts, servers int }{{10, 18}, {2_700, 5_400}} {
+		figures = append(figures, change(size.accounts, size.servers), configuration(size.accounts, size.servers), assignment(size.servers))
+	}
+	for _, keys := range []int{1_000, 100_000} {
+		figures = append(figures, claims(keys))
+	}
+	return append(figures, claimRecord(), changeRecord())
+}
+
+// Print writes the figures as a table.
+func Print(out io.Writer, figures []Figure) {
+	table := tabwriter.NewWriter(out, 0, 0, 2, ' ', 0)
+	fmt.Fprintln(table, "what\tsize\ttime\tallocations\tbytes\t")
+	for _, f := range figures {
+		fmt.Fprintf(table, "%s\t%s\t%s\t%d\t%d\t\n", f.Name, f.Size, f.Time, f.Allocations, f.Bytes)
+	}
+	_ = table.Flush()
+}
+
+func figure(name, size string, run func(b *testing.B)) Figure {
+	result := testing.Benchmark(run)
+	return Figure{Name: name, Size: size, Time: time.Duration(result.NsPerOp()), Allocations: result.AllocsPerOp()}
+}
+
+const model = dragonflypass.ModelID("model")
+
+func server(i int) dragonflypass.BackendServer {
+	return dragonflypass.BackendServer{
+		ID: dragonflypass.ServerID(fmt.Sprintf("server-%05d", i)), Zone: "a", Models: []dragonflypass.ModelID{model},
+		Address: netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, byte(i >> 8), byte(i)}), 8000),
+		Memory:  420_000, Slots: 48, Prefill: 24_000, Decode: 45,
+	}
+}
+
+// items is a configuration of the given size.
+func items(accounts, servers int) []dragonflypass.Versioned {
+	var all []dragonflypass.Versioned
+	add := func(section dragonflypass.Section, name string, item dragonflypass.Item) {
+		all = append(all, dragonflypass.Versioned{Key: dragonflypass.ItemKey{Section: section, Name: name}, Version: 1, Item: item})
+	}
+	for i := range 32 {
+		id := model
+		if i > 0 {
+			id = dragonflypass.ModelID(fmt.Sprintf("model-%d", i))
+		}
+		add(dragonflypass.SectionModel, string(id), dragonflypass.Item{Model: &dragonflypass.Model{ID: id, Limit: 1_000_000}})
+	}
+	for i := range servers {
+		s := server(i)
+		add(dragonflypass.SectionServer, string(s.ID), dragonflypass.Item{Server: &s})
+	}
+	for i := range accounts {
+		id := dragonflypass.AccountID(fmt.Sprintf("account-%d", i))
+		add(dragonflypass.SectionAccount, string(id), dragonflypass.Item{Account: &dragonflypass.ClientAccount{
+			ID: id, Keys: []dragonflypass.Digest{{byte(i), byte(i >> 8)}}, Models: []dragonflypass.ModelID{model}, Weight: 1,
+		}})
+	}
+	return all
+}
+
+// node is the decisions of one VM that owns the first 13 servers.
+func node(clock *fake.Clock) *composer.Node {
+	const owned = 13
+	vm := dragonflypass.VM{ID: "vm-0", Zone: "a"}
+	n := composer.Compose(composer.Defaults(vm, 1), composer.Ports{Timer: clock, Pool: clock, Meter: fake.NewMeter(), Logger: fake.Logger{}})
+	current := dragonflypass.NewConfiguration(1, items(2_700, 900))
+	n.Scheduler.Current = func() *dragonflypass.Configuration { return current }
+	n.Dispatcher.Current = n.Scheduler.Current
+	n.Scheduler.Lost = func(dragonflypass.ServerID) {}
+	var servers []dragonflypass.BackendServer
+	for i := range owned {
+		servers = append(servers, server(i))
+	}
+	n.Scheduler.Own(servers)
+	for _, s := range servers {
+		n.Scheduler.Report(dragonflypass.ServerReport{Server: s.ID, Epoch: 1})
+	}
+	return n
+}
+
+// members tells of a zone's other VMs with 13 servers each.
+type members struct {
+	rows []dragonflypass.Member
+}
+
+// Others returns the rows.
+func (m members) Others() []dragonflypass.Member { return m.rows }
+
+// Attend returns the context as it is.
+func (m members) Attend(ctx context.Context, _ dragonflypass.VMID) (context.Context, context.CancelFunc) {
+	return ctx, func() {}
+}
+
+func loads(first, count int) []dragonflypass.ServerLoad {
+	var all []dragonflypass.ServerLoad
+	for i := range count {
+		all = append(all, dragonflypass.ServerLoad{
+			Server: server(first + i).ID, Free: 200_000, Streams: 20,
+			Wait: [dragonflypass.ClassCount]time.Duration{time.Duration(i) * time.Millisecond, 1, 2, 3},
+		})
+	}
+	return all
+}
+
+// placement orders the owners of one zone for one request.
+func placement(vms int) Figure {
+	clock := fake.NewClock(time.Now())
+	n := node(clock)
+	var zone members
+	for i := range vms - 1 {
+		vm := dragonflypass.VM{ID: dragonflypass.VMID(fmt.Sprintf("vm-%d", i+1)), Zone: "a"}
+		zone.rows = append(zone.rows, dragonflypass.Member{VM: vm, State: dragonflypass.MemberLive, Heard: clock.Now(), Loads: loads(13*(i+1)%880, 13)})
+	}
+	n.Dispatcher.Owners = zone
+	request := &dragonflypass.PermitRequest{Model: model, PromptTokens: 2_000, OutputTokens: 200}
+	return figure("placement among a zone's digests", fmt.Sprintf("%d VMs, 13 servers each", vms), func(b *testing.B) {
+		for b.Loop() {
+			request.Fingerprint.Body[0]++
+			n.Dispatcher.Order(request)
+		}
+	})
+}
+
+// grant queues one request, grants one and takes one back, at an owner of 13 servers with the queue at the size.
+func grant(queued int) Figure {
+	clock := fake.NewClock(time.Now())
+	n := node(clock)
+	sequence := uint64(0)
+	request := func() dragonflypass.PermitRequest {
+		sequence++
+		return dragonflypass.PermitRequest{
+			Stream:  dragonflypass.StreamID{VM: "vm-1", Sequence: sequence},
+			Account: dragonflypass.AccountID(fmt.Sprintf("account-%d", sequence%2_700)), Weight: 1, Model: model,
+			Rank: dragonflypass.Rank(sequence % 3), PromptTokens: 12_000, OutputTokens: 200, ExpectedTokens: 100,
+			Fingerprint: dragonflypass.Fingerprint{Body: dragonflypass.Digest{byte(sequence), byte(sequence >> 8), byte(sequence >> 16), byte(sequence >> 24)}},
+			Deadline:    clock.Now().Add(24 * time.Hour), LatestStart: clock.Now().Add(24 * time.Hour), Target: clock.Now().Add(time.Duration(sequence) * time.Millisecond),
+		}
+	}
+	var granted []dragonflypass.Permit
+	enqueue := func() {
+		n.Scheduler.Enqueue(&dragonflypass.Waiting{Request: request(), Since: clock.Now(), Grant: func(p dragonflypass.Permit, err error) {
+			if err == nil {
+				granted = append(granted, p)
+			}
+		}})
+	}
+	for n.Scheduler.State().Waiting < queued {
+		enqueue()
+	}
+	return figure("one request queued, granted and taken back", fmt.Sprintf("%d queued, 13 servers, 2700 accounts", queued), func(b *testing.B) {
+		for b.Loop() {
+			enqueue()
+			if len(granted) > 0 {
+				p := granted[0]
+				granted = granted[1:]
+				n.Scheduler.Release(dragonflypass.PermitRelease{Stream: p.Stream, Server: p.Server, OutputTokens: 100})
+			}
+			clock.Run(clock.Now().Add(time.Second / 26))
+		}
+	})
+}
+
+// heartbeat encodes and decodes one heartbeat.
+func heartbeat(servers, held int) Figure {
+	beat := dragonflypass.Heartbeat{
+		From: dragonflypass.VM{ID: "vm-000", Zone: "zone-a", Peer: netip.MustParseAddrPort("10.0.0.1:8081")}, Incarnation: 1 << 60, Config: 1 << 20,
+		Loads: loads(0, servers),
+	}
+	for i := range held {
+		beat.Kept = append(beat.Kept, uint64(i)*50+1<<20)
+	}
+	size := 0
+	f := figure("one heartbeat encoded and decoded", fmt.Sprintf("%d servers, %d open streams", servers, held), func(b *testing.B) {
+		for b.Loop() {
+			size = messenger.Transcode(beat)
+		}
+	})
+	f.Bytes = size
+	return f
+}
+
+// change folds one change in and makes the configuration anew.
+func change(accounts, servers int) Figure {
+	fold := configurer.NewFold()
+	all := items(accounts, servers)
+	fold.Apply([]dragonflypass.Entry{{Offset: 2, Record: dragonflypass.Record{Snapshot: &dragonflypass.Snapshot{Upto: 1, Items: all}}}})
+	offset := fold.Offset()
+	key := dragonflypass.ItemKey{Section: dragonflypass.SectionModel, Name: string(model)}
+	base := dragonflypass.Offset(1)
+	return figure("one configuration change applied", fmt.Sprintf("%d accounts, %d servers", accounts, servers), func(b *testing.B) {
+		for b.Loop() {
+			offset++
+			item := dragonflypass.Item{Model: &dragonflypass.Model{ID: model, Version: fmt.Sprint(offset), Limit: 1}}
+			fold.Apply([]dragonflypass.Entry{{Offset: offset, Record: dragonflypass.Record{Change: &dragonflypass.Change{
+				ID: fmt.Sprint(offset), Edits: []dragonflypass.Edit{{Key: key, Base: base, Item: &item}},
+			}}}})
+			base = offset
+			dragonflypass.NewConfiguration(offset, fold.Items())
+		}
+	})
+}
+
+// configuration weighs the configuration in memory and as a snapshot.
+func configuration(accounts, servers int) Figure {
+	before := heap()
+	all := items(accounts, servers)
+	current := dragonflypass.NewConfiguration(1, all)
+	after := heap()
+	data, err := encoder.Encode(dragonflypass.Record{Snapshot: &dragonflypass.Snapshot{Upto: 1, Items: all}})
+	if err != nil {
+		panic(err)
+	}
+	runtime.KeepAlive(current)
+	return Figure{Name: "configuration in memory", Size: fmt.Sprintf("%d accounts, %d servers, snapshot of %d bytes", accounts, servers, len(data)), Bytes: after - before}
+}
+
+// assignment works out the owners of all servers among 68 VMs.
+func assignment(servers int) Figure {
+	current := dragonflypass.NewConfiguration(1, items(1, servers))
+	var live []dragonflypass.VM
+	for i := range 68 {
+		live = append(live, dragonflypass.VM{ID: dragonflypass.VMID(fmt.Sprintf("vm-%d", i)), Zone: "a"})
+	}
+	a := assigner.New()
+	a.Self, a.Own = "vm-0", func([]dragonflypass.BackendServer) {}
+	a.Live = func() []dragonflypass.VM { return live }
+	a.Current = func() *dragonflypass.Configuration { return current }
+	return figure("owners worked out among 68 VMs", fmt.Sprintf("%d servers", servers), func(b *testing.B) {
+		for b.Loop() {
+			a.Assign()
+		}
+	})
+}
+
+// claims weighs the table of claims with their outcomes.
+func claims(keys int) Figure {
+	before := heap()
+	fold := claimer.NewFold(24*time.Hour, 72*time.Hour)
+	at := time.Now()
+	begun := time.Now()
+	for i := range keys {
+		key := dragonflypass.ClaimKey{Account: "account-1000", Service: "booking", Key: dragonflypass.Digest{byte(i), byte(i >> 8), byte(i >> 16)}}
+		nonce := dragonflypass.Nonce{byte(i), byte(i >> 8), byte(i >> 16)}
+		fold.Apply(dragonflypass.Entry{Offset: dragonflypass.Offset(2*i + 1), At: at, Record: dragonflypass.Record{Claim: &dragonflypass.Claim{Key: key, Nonce: nonce}}})
+		answer := dragonflypass.Answer{Status: 200, ContentType: "application/json", Body: make([]byte, 64)}
+		fold.Apply(dragonflypass.Entry{Offset: dragonflypass.Offset(2*i + 2), At: at, Record: dragonflypass.Record{End: &dragonflypass.ClaimEnd{Key: key, Nonce: nonce, Answer: answer}}})
+	}
+	spent := time.Since(begun) / time.Duration(keys)
+	after := heap()
+	runtime.KeepAlive(fold)
+	return Figure{Name: "claims with outcomes in memory", Size: fmt.Sprintf("%d keys", keys), Time: spent, Bytes: after - before}
+}
+
+func claimRecord() Figure {
+	claim := dragonflypass.Claim{Key: dragonflypass.ClaimKey{Account: "account-1000", Service: "booking"}, VM: "vm-000", Incarnation: 1 << 60, At: time.Now(), Deadline: time.Now()}
+	return record("a claim in the log", dragonflypass.Record{Claim: &claim})
+}
+
+func changeRecord() Figure {
+	v := items(1, 1)
+	change := dragonflypass.Change{ID: "01890000-0000-7000-8000-000000000000", Author: "operator", At: time.Now()}
+	for i := range v[len(v)-2:] {
+		item := v[len(v)-2+i]
+		change.Edits = append(change.Edits, dragonflypass.Edit{Key: item.Key, Base: 1, Item: &item.Item})
+	}
+	return record("a change of two items in the log", dragonflypass.Record{Change: &change})
+}
+
+func record(name string, r dragonflypass.Record) Figure {
+	size := 0
+	f := figure(name, "encoded and decoded", func(b *testing.B) {
+		for b.Loop() {
+			data, err := encoder.Encode(r)
+			if err != nil {
+				b.Fatal(err)
+			}
+			size = len(data)
+			if _, err := encoder.Decode(data); err != nil {
+				b.Fatal(err)
+			}
+		}
+	})
+	f.Bytes = size
+	return f
+}
+
+// heap is the memory in use after a collection, in bytes.
+func heap() int {
+	runtime.GC()
+	runtime.GC()
+	var stats runtime.MemStats
+	runtime.ReadMemStats(&stats)
+	return int(stats.HeapAlloc)
+}
--- a/vm.go
+++ b/vm.go
@@ -56,6 +56,8 @@
 	Incarnation uint64
 	Config      Offset
 	Loads       []ServerLoad
-	// Held lists the sender's open streams at backend servers that the receiver owns.
+	// Kept lists the sequence numbers of the sender's open streams that the receiver granted.
+	Kept []uint64
+	// Held lists the sender's open streams at servers that the receiver owns and another VM granted.
 	Held []HeldStream
 }
