--- a/adapter/messenger/message.go
+++ b/adapter/messenger/message.go
@@ -347,3 +347,17 @@
 	}
 	return len(data)
 }
+
+// PermitBytes returns the size in bytes of the messages by which one permit is asked for, granted and returned.
+func PermitBytes(request dragonflypass.PermitRequest, granted dragonflypass.Permit, returned dragonflypass.PermitRelease) int {
+	total := 0
+	for _, e := range []envelope{
+		{ID: 1 << 20, Kind: kindAcquire, Body: body(toAcquire(request))},
+		{ID: 1 << 20, Kind: kindAnswer, Body: body(answer{Permit: toPermit(granted)})},
+		{ID: 1 << 20, Kind: kindRelease, Body: body(toRelease(returned))},
+		{ID: 1 << 20, Kind: kindAnswer, Body: body(answer{})},
+	} {
+		total += len(body(e))
+	}
+	return total
+}
--- a/core/assigner/assigner.go
+++ b/core/assigner/assigner.go
@@ -1,6 +1,10 @@
 package assigner
 
 import (
+	"cmp"
+	"maps"
+	"slices"
+
 	"github.com/dragonflypass/dragonflypass"
 	"github.com/dragonflypass/dragonflypass/core/detector"
 	"github.com/dragonflypass/dragonflypass/core/locker"
@@ -16,6 +20,9 @@
 
 	mutex  locker.Mutex
 	owners map[dragonflypass.ServerID]dragonflypass.VMID
+	// live and servers are what the owners were worked out for.
+	live    []dragonflypass.VM
+	servers map[dragonflypass.ServerID]*dragonflypass.BackendServer
 }
 
 // New returns an assigner that knows no owner.
@@ -23,28 +30,44 @@
 	return &Assigner{mutex: locker.Mutex{Order: locker.Servers}, owners: make(map[dragonflypass.ServerID]dragonflypass.VMID)}
 }
 
-// Assign works the owners out anew.
+// Assign works the owners out anew where the members or the servers have changed, and passes on what this VM owns.
 func (a *Assigner) Assign() {
 	live := a.Live()
+	slices.SortFunc(live, func(x, y dragonflypass.VM) int { return cmp.Compare(x.ID, y.ID) })
 	current := a.Current()
-	owners := make(map[dragonflypass.ServerID]dragonflypass.VMID, len(current.Servers))
+	if !a.same(live, current.Servers) {
+		a.renew(live, current.Servers)
+	}
 	var own []dragonflypass.BackendServer
-	for id, server := range current.Servers {
-		owner, ok := detector.Owner(server, live)
-		if !ok {
-			continue
-		}
-		owners[id] = owner.ID
-		if owner.ID == a.Self {
-			own = append(own, *server)
+	a.mutex.Lock()
+	for id, owner := range a.owners {
+		if owner == a.Self {
+			own = append(own, *current.Servers[id])
 		}
 	}
-	a.mutex.Lock()
-	a.owners = owners
 	a.mutex.Unlock()
 	a.Own(own)
 }
 
+// same reports whether the owners were worked out for these members and servers.
+func (a *Assigner) same(live []dragonflypass.VM, servers map[dragonflypass.ServerID]*dragonflypass.BackendServer) bool {
+	a.mutex.Lock()
+	defer a.mutex.Unlock()
+	return a.servers != nil && slices.Equal(live, a.live) && maps.Equal(servers, a.servers)
+}
+
+func (a *Assigner) renew(live []dragonflypass.VM, servers map[dragonflypass.ServerID]*dragonflypass.BackendServer) {
+	owners := make(map[dragonflypass.ServerID]dragonflypass.VMID, len(servers))
+	for id, server := range servers {
+		if owner, ok := detector.Owner(server, live); ok {
+			owners[id] = owner.ID
+		}
+	}
+	a.mutex.Lock()
+	defer a.mutex.Unlock()
+	a.owners, a.live, a.servers = owners, live, servers
+}
+
 // Owner returns the VM that owns the backend server, empty when none is known.
 func (a *Assigner) Owner(server dragonflypass.ServerID) dragonflypass.VMID {
 	a.mutex.Lock()
--- a/core/configurer/configurer.go
+++ b/core/configurer/configurer.go
@@ -28,6 +28,8 @@
 	tailLimit = 4096
 	// readTimeout bounds one call to the log or to a peer.
 	readTimeout = 2 * time.Second
+	// sharedReaders is the number of other VMs for each of which the log is read one period less often.
+	sharedReaders = 8
 	// snapshotParts is the number of snapshots written within the log's retention time.
 	snapshotParts = 4
 )
@@ -61,6 +63,8 @@
 	changed   chan struct{}
 	listeners []func(*dragonflypass.Configuration)
 	logFailed bool
+	// lastRead is the instant at which the log was last read periodically.
+	lastRead time.Time
 }
 
 // New returns a configurer with an empty configuration.
@@ -95,13 +99,28 @@
 	<-ctx.Done()
 }
 
-// Refresh reads what is new in the log, and from a peer that has come further.
+// Refresh reads what is new in the log when that is due, and from a peer that has come further.
 func (c *Configurer) Refresh(ctx context.Context) {
-	err := c.readLog(ctx)
-	c.noteLog(err)
+	if c.due() {
+		c.noteLog(c.readLog(ctx))
+	}
 	c.readPeers(ctx)
 }
 
+// due reports whether to read the log now: the more VMs there are that tell each
+// other of changes, the less often each one reads.
+func (c *Configurer) due() bool {
+	now := c.Timer.Now()
+	period := c.Poll * time.Duration(1+len(c.Members.Others())/sharedReaders)
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	if now.Sub(c.lastRead) < period {
+		return false
+	}
+	c.lastRead = now
+	return true
+}
+
 func (c *Configurer) noteLog(err error) {
 	if err != nil {
 		c.Meter.Add(dragonflypass.CountLogFailed, 1)
@@ -310,7 +329,7 @@
 	if err := c.readLog(ctx); err != nil {
 		return
 	}
-	snapshot := c.due()
+	snapshot := c.overdue()
 	if snapshot == nil {
 		return
 	}
@@ -324,8 +343,8 @@
 	_ = c.readLog(ctx)
 }
 
-// due returns the snapshot to write, nil when the log holds one that is young enough.
-func (c *Configurer) due() *dragonflypass.Snapshot {
+// overdue returns the snapshot to write, nil when the log holds one that is young enough.
+func (c *Configurer) overdue() *dragonflypass.Snapshot {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
 	if !c.fold.Complete() {
--- a/experiment/gauger/gauger.go
+++ b/experiment/gauger/gauger.go
@@ -50,7 +50,22 @@
 	for _, keys := range []int{1_000, 100_000} {
 		figures = append(figures, claims(keys))
 	}
-	return append(figures, claimRecord(), changeRecord())
+	return append(figures, claimRecord(), changeRecord(), permitMessages())
+}
+
+// permitMessages weighs the messages of one request between its entry VM and the owner.
+func permitMessages() Figure {
+	stream := dragonflypass.StreamID{VM: "vm-000", Incarnation: 1 << 60, Sequence: 1 << 20}
+	now := time.Now()
+	bytes := messenger.PermitBytes(
+		dragonflypass.PermitRequest{
+			Stream: stream, Account: "account-1000", Weight: 1, Model: model, PromptTokens: 4_000, OutputTokens: 500, ExpectedTokens: 200,
+			Fingerprint: dragonflypass.Fingerprint{Account: "account-1000", Model: model}, Deadline: now, LatestStart: now, Target: now,
+		},
+		dragonflypass.Permit{Stream: stream, Owner: "vm-001", Server: "server-00001", Address: netip.MustParseAddrPort("10.0.0.1:8000")},
+		dragonflypass.PermitRelease{Stream: stream, Server: "server-00001", OutputTokens: 200},
+	)
+	return Figure{Name: "permit asked for, granted and returned", Size: "4 messages", Bytes: bytes}
 }
 
 // Print writes the figures as a table.
