Offer fewer requests of a lane behind a blocked one

Cause (slopes): with 10,000 queued, 16 requests of each lane were offered to servers that had no room at their level. Change: six at most.

--- a/core/ranker/lane.go
+++ b/core/ranker/lane.go
@@ -2,7 +2,6 @@
 
 import (
 	"container/heap"
-	"slices"
 	"time"
 
 	"github.com/dragonflypass/dragonflypass"
@@ -75,33 +74,35 @@
 	}
 }
 
-// first returns the first request that fit accepts among the first accounts in order.
+// first returns the first request that fit accepts among the first few: those of the first account, then of the next ones.
 func (l *lane) first(fit func(*dragonflypass.Waiting) bool) *entry {
 	l.settle()
-	tries := slices.Clone(l.lines[:min(accountTries, len(l.lines))])
-	for _, ln := range tries {
-		if e := ln.first(fit); e != nil {
+	left := laneTries
+	for i := 0; i < len(l.lines) && left > 0; i++ {
+		e, tried := l.lines[i].first(fit, min(left, entryTries))
+		if e != nil {
 			return e
 		}
+		left -= tried
 	}
 	return nil
 }
 
-// first returns the first request that fit accepts among the first few of the line.
-func (ln *line) first(fit func(*dragonflypass.Waiting) bool) *entry {
-	tried := 0
+// first returns the first request that fit accepts among so many of the line, and how many it was offered.
+func (ln *line) first(fit func(*dragonflypass.Waiting) bool, tries int) (found *entry, tried int) {
 	for _, e := range ln.entries {
 		if e.gone {
 			continue
 		}
+		tried++
 		if fit(e.waiting) {
-			return e
+			return e, tried
 		}
-		if tried++; tried == entryTries {
-			return nil
+		if tried == tries {
+			break
 		}
 	}
-	return nil
+	return nil, tried
 }
 
 // target is the instant at which the lane's first request is due its first token.
--- a/core/ranker/ranker.go
+++ b/core/ranker/ranker.go
@@ -12,9 +12,8 @@
 const (
 	// shareHalfLife is the time in which service once given counts half in the ranks' shares.
 	shareHalfLife = 30 * time.Second
-	// accountTries is the number of accounts of one lane whose first request is offered.
-	accountTries = 4
-	// entryTries is the number of requests of one account in one lane that are offered.
+	// laneTries is the number of requests of one lane that are offered in one go, entryTries that of one account.
+	laneTries  = 6
 	entryTries = 4
 	// cleanEvery is the number of pushes between two removals of idle accounts.
 	cleanEvery = 1024
--- a/experiment/gauger/gauger.go
+++ b/experiment/gauger/gauger.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"fmt"
 	"io"
 	"net/netip"
@@ -13,6 +14,7 @@
 	"github.com/dragonflypass/dragonflypass"
 	"github.com/dragonflypass/dragonflypass/adapter/encoder"
 	"github.com/dragonflypass/dragonflypass/adapter/messenger"
+	"github.com/dragonflypass/dragonflypass/adapter/streamer"
 	"github.com/dragonflypass/dragonflypass/core/assigner"
 	"github.com/dragonflypass/dragonflypass/core/claimer"
 	"github.com/dragonflypass/dragonflypass/core/composer"
@@ -50,9 +52,37 @@
 	for _, keys := range []int{1_000, 100_000} {
 		figures = append(figures, claims(keys))
 	}
+	for _, streams := range []int{5, 53} {
+		figures = append(figures, report(streams))
+	}
 	return append(figures, claimRecord(), changeRecord(), permitMessages())
 }
 
+// report encodes and decodes a server's report.
+func report(streams int) Figure {
+	r := dragonflypass.ServerReport{Server: server(0).ID, Epoch: 3, Used: 400_000, At: time.Now()}
+	for i := range streams {
+		id := dragonflypass.StreamID{VM: "vm-000", Incarnation: 1 << 60, Sequence: 1<<20 + uint64(i)}
+		r.Streams = append(r.Streams, dragonflypass.StreamReport{Stream: id, Tokens: 4_000, Prefilled: true})
+	}
+	size := 0
+	f := figure("one server's report encoded and decoded", fmt.Sprintf("%d streams", streams), func(b *testing.B) {
+		for b.Loop() {
+			data, err := json.Marshal(streamer.FromReport(r))
+			if err != nil {
+				b.Fatal(err)
+			}
+			size = len(data)
+			var wire streamer.Report
+			if err := json.Unmarshal(data, &wire); err != nil {
+				b.Fatal(err)
+			}
+		}
+	})
+	f.Bytes = size
+	return f
+}
+
 // permitMessages weighs the messages of one request between its entry VM and the owner.
 func permitMessages() Figure {
 	stream := dragonflypass.StreamID{VM: "vm-000", Incarnation: 1 << 60, Sequence: 1 << 20}
