--- a/adapter/encoder/record.go
+++ b/adapter/encoder/record.go
@@ -23,6 +23,14 @@
 	Claim    *claim    `json:"claim,omitempty"`
 	End      *end      `json:"end,omitempty"`
 	Copy     *copied   `json:"copy,omitempty"`
+
+	Assignment *assignment `json:"assignment,omitempty"`
+}
+
+type assignment struct {
+	Server      string `json:"server"`
+	VM          string `json:"vm"`
+	Incarnation uint64 `json:"incarnation"`
 }
 
 // Key is the JSON form of an item's key.
@@ -120,6 +128,8 @@
 		w.End = fromEnd(r.End)
 	case r.Copy != nil:
 		w.Copy = &copied{Claim: fromClaim(r.Copy.Claim), End: fromEnd(r.Copy.End)}
+	case r.Assignment != nil:
+		w.Assignment = &assignment{Server: string(r.Assignment.Server), VM: string(r.Assignment.VM), Incarnation: r.Assignment.Incarnation}
 	}
 	data, err := json.Marshal(w)
 	if err != nil {
@@ -156,6 +166,10 @@
 		r.End = w.End.end()
 	case w.Copy != nil:
 		r.Copy = &dragonflypass.ClaimCopy{Claim: w.Copy.Claim.claim(), End: w.Copy.End.end()}
+	case w.Assignment != nil:
+		r.Assignment = &dragonflypass.Assignment{
+			Server: dragonflypass.ServerID(w.Assignment.Server), VM: dragonflypass.VMID(w.Assignment.VM), Incarnation: w.Assignment.Incarnation,
+		}
 	}
 	return r, nil
 }
--- a/adapter/messenger/message.go
+++ b/adapter/messenger/message.go
@@ -117,6 +117,7 @@
 	Wait [dragonflypass.ClassCount]int64
 	// Closing is in nanoseconds since 1970, zero for none.
 	Closing int64
+	Models  []string
 }
 
 type held struct {
@@ -251,6 +252,9 @@
 		for i, wait := range l.Wait {
 			wire.Wait[i] = wait.Milliseconds()
 		}
+		for _, model := range l.Models {
+			wire.Models = append(wire.Models, string(model))
+		}
 		w.Loads = append(w.Loads, wire)
 	}
 	before := uint64(0)
@@ -278,6 +282,9 @@
 		for i, wait := range l.Wait {
 			full.Wait[i] = time.Duration(wait) * time.Millisecond
 		}
+		for _, model := range l.Models {
+			full.Models = append(full.Models, dragonflypass.ModelID(model))
+		}
 		b.Loads = append(b.Loads, full)
 	}
 	sequence := uint64(0)
--- a/adapter/streamer/format.go
+++ b/adapter/streamer/format.go
@@ -51,6 +51,7 @@
 	Server  string         `json:"server"`
 	Epoch   uint64         `json:"epoch"`
 	Used    int            `json:"used"`
+	Models  []string       `json:"models,omitempty"`
 	Streams []StreamReport `json:"streams"`
 	At      time.Time      `json:"at"`
 }
@@ -62,6 +63,20 @@
 	Prefilled bool   `json:"prefilled"`
 }
 
+// Order is the JSON form of an order to a server.
+type Order struct {
+	Fence uint64 `json:"fence"`
+	// Kind is load or unload.
+	Kind  string `json:"kind"`
+	Model string `json:"model"`
+}
+
+// The kinds of orders.
+const (
+	OrderLoad   = "load"
+	OrderUnload = "unload"
+)
+
 // FormatStream writes a stream identifier as VM, incarnation and sequence.
 func FormatStream(id dragonflypass.StreamID) string {
 	return fmt.Sprintf("%s.%d.%d", id.VM, id.Incarnation, id.Sequence)
@@ -98,6 +113,9 @@
 // FromReport returns the JSON form of a report.
 func FromReport(r dragonflypass.ServerReport) Report {
 	w := Report{Server: string(r.Server), Epoch: r.Epoch, Used: r.Used, At: r.At, Streams: make([]StreamReport, 0, len(r.Streams))}
+	for _, model := range r.Models {
+		w.Models = append(w.Models, string(model))
+	}
 	for _, s := range r.Streams {
 		w.Streams = append(w.Streams, StreamReport{Stream: FormatStream(s.Stream), Tokens: s.Tokens, Prefilled: s.Prefilled})
 	}
@@ -106,6 +124,9 @@
 
 func (w Report) report() (dragonflypass.ServerReport, error) {
 	r := dragonflypass.ServerReport{Server: dragonflypass.ServerID(w.Server), Epoch: w.Epoch, Used: w.Used, At: w.At}
+	for _, model := range w.Models {
+		r.Models = append(r.Models, dragonflypass.ModelID(model))
+	}
 	for _, s := range w.Streams {
 		id, err := ParseStream(s.Stream)
 		if err != nil {
--- a/adapter/streamer/streamer.go
+++ b/adapter/streamer/streamer.go
@@ -213,3 +213,31 @@
 	}
 	return wire.report()
 }
+
+// Order has the server load or unload a model.
+func (s *Streamer) Order(ctx context.Context, server netip.AddrPort, order dragonflypass.Order) error {
+	wire := Order{Fence: uint64(order.Fence), Kind: OrderLoad, Model: string(order.Model)}
+	if order.Unload {
+		wire.Kind = OrderUnload
+	}
+	data, err := json.Marshal(wire)
+	if err != nil {
+		return eris.Wrap(dragonflypass.ErrRefused, err.Error())
+	}
+	request, err := http.NewRequestWithContext(ctx, http.MethodPost, base(server)+"/v1/orders", bytes.NewReader(data))
+	if err != nil {
+		return eris.Wrap(dragonflypass.ErrRefused, err.Error())
+	}
+	response, err := s.client.Do(request)
+	if err != nil {
+		return sendError(ctx, err)
+	}
+	defer func() { _ = response.Body.Close() }()
+	switch response.StatusCode {
+	case http.StatusNoContent:
+		return nil
+	case http.StatusConflict:
+		return eris.Wrap(dragonflypass.ErrFenced, response.Status)
+	}
+	return eris.Wrap(dragonflypass.ErrRefused, response.Status)
+}
--- a/config.go
+++ b/config.go
@@ -123,6 +123,8 @@
 	Claim    *Claim
 	End      *ClaimEnd
 	Copy     *ClaimCopy
+	// Assignment gives its VM the right to give a server orders.
+	Assignment *Assignment
 }
 
 // Entry is a record at its place in the log.
@@ -147,6 +149,9 @@
 // StreamConfig is the stream of configuration changes and snapshots.
 const StreamConfig Stream = "config"
 
+// StreamOrders is the stream of assignments, whose offsets are the fencing numbers of orders.
+const StreamOrders Stream = "orders"
+
 // StreamClaims is the prefix of the streams of claims, one for each shard.
 const StreamClaims Stream = "claims"
 
--- a/core/assigner/assigner.go
+++ b/core/assigner/assigner.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"maps"
 	"slices"
+	"sync"
 
 	"github.com/dragonflypass/dragonflypass"
 	"github.com/dragonflypass/dragonflypass/core/detector"
@@ -18,6 +19,9 @@
 	// Own takes the backend servers that this VM owns.
 	Own func([]dragonflypass.BackendServer)
 
+	// turn is no table's lock: it is taken before all of them.
+	turn sync.Mutex
+
 	mutex  locker.Mutex
 	owners map[dragonflypass.ServerID]dragonflypass.VMID
 	// live and servers are what the owners were worked out for.
@@ -32,6 +36,9 @@
 
 // Assign works the owners out anew where the members or the servers have changed, and passes on what this VM owns.
 func (a *Assigner) Assign() {
+	// One at a time, each with the newest members and configuration, so that an older one never comes last.
+	a.turn.Lock()
+	defer a.turn.Unlock()
 	live := a.Live()
 	slices.SortFunc(live, func(x, y dragonflypass.VM) int { return cmp.Compare(x.ID, y.ID) })
 	current := a.Current()
--- a/core/composer/composer.go
+++ b/core/composer/composer.go
@@ -16,6 +16,7 @@
 	"github.com/dragonflypass/dragonflypass/core/estimator"
 	"github.com/dragonflypass/dragonflypass/core/forwarder"
 	"github.com/dragonflypass/dragonflypass/core/handler"
+	"github.com/dragonflypass/dragonflypass/core/orderer"
 	"github.com/dragonflypass/dragonflypass/core/placer"
 	"github.com/dragonflypass/dragonflypass/core/quarantiner"
 	"github.com/dragonflypass/dragonflypass/core/ranker"
@@ -95,6 +96,7 @@
 	Scheduler  *scheduler.Scheduler
 	Assigner   *assigner.Assigner
 	Watcher    *watcher.Watcher
+	Orderer    *orderer.Orderer
 	Dispatcher *dispatcher.Dispatcher
 	Forwarder  *forwarder.Forwarder
 	Claimer    *claimer.Claimer
@@ -153,6 +155,11 @@
 	w.Timer, w.Pool, w.Engine, w.Peers, w.Members = p.Timer, p.Pool, p.Engine, p.Peers, n.Detector
 	w.Scheduler, w.Guard, w.Meter, w.Logger, w.Period = s, n.Guard, p.Meter, p.Logger, o.Report
 	n.Watcher = w
+
+	g := orderer.New()
+	g.Self, g.Incarnation, g.Timer, g.Pool, g.Log, g.Engine = o.Self.ID, o.Incarnation, p.Timer, p.Pool, p.Log, p.Engine
+	g.Servers, g.Meter, g.Logger, g.Current, g.Lease = s, p.Meter, p.Logger, n.Configurer.Current, o.Lease
+	n.Orderer = g
 	s.Lost = w.Probe
 }
 
@@ -206,6 +213,7 @@
 	var parts sync.WaitGroup
 	for _, run := range []func(context.Context){
 		n.Detector.Run, n.Configurer.Run, n.Scheduler.Run, n.Watcher.Run, n.Dispatcher.Run, n.Claimer.Run, n.Drainer.Run,
+		n.Orderer.Run,
 	} {
 		parts.Go(func() { run(ctx) })
 	}
--- a/core/composer/group_test.go
+++ b/core/composer/group_test.go
@@ -96,7 +96,8 @@
 
 // TestGroupLeavesServersToShortWork keeps a server for short prompts where a group would take them all.
 func TestGroupLeavesServersToShortWork(t *testing.T) {
-	withSite(t, 1, 3, func(c *qt.C, s *fake.Site) {
+	prepare := func(s *fake.Site) { s.Zones = []dragonflypass.AvailabilityZone{"a"} }
+	synctestSite(t, 1, 3, prepare, func(c *qt.C, s *fake.Site) {
 		refused := s.Complete(s.Context, 0, prompt("huge", hugeTokens), 40, dragonflypass.RankBulk)
 		refusal, ok := dragonflypass.AsRefusal(refused.Err)
 		c.Assert(ok, qt.IsTrue)
--- a/core/dispatcher/acquire.go
+++ b/core/dispatcher/acquire.go
@@ -224,7 +224,7 @@
 	prefill := 0.0
 	for i := range loads {
 		server := current.Servers[loads[i].Server]
-		if server == nil || !server.Serves(request.Model) || server.Memory < request.Tokens() || slices.Contains(request.Exclude, server.ID) {
+		if server == nil || !serves(server, &loads[i], request.Model) || server.Memory < request.Tokens() || slices.Contains(request.Exclude, server.ID) {
 			continue
 		}
 		prefill += server.Prefill
@@ -250,6 +250,14 @@
 	return c, true
 }
 
+// serves reports whether the server has the model loaded.
+func serves(server *dragonflypass.BackendServer, load *dragonflypass.ServerLoad, model dragonflypass.ModelID) bool {
+	if len(load.Models) == 0 {
+		return server.Serves(model)
+	}
+	return slices.Contains(load.Models, model)
+}
+
 // fullWait is added to the predicted wait at a server without free memory.
 const fullWait = time.Second
 
--- a/core/dispatcher/group.go
+++ b/core/dispatcher/group.go
@@ -196,7 +196,7 @@
 	total := 0
 	for _, load := range d.loads() {
 		server := current.Servers[load.Server]
-		if server == nil || !server.Serves(j.request.Model) {
+		if server == nil || !serves(server, &load, j.request.Model) {
 			continue
 		}
 		total++
--- a/core/scheduler/digest.go
+++ b/core/scheduler/digest.go
@@ -41,6 +41,9 @@
 			backlog = max(backlog, time.Duration(float64(tokens)/rate*float64(time.Second)))
 		}
 	}
+	if len(srv.models) > 0 && !sameModels(srv.models, srv.declared.Models) {
+		load.Models = slices.Clone(srv.models)
+	}
 	for class := range dragonflypass.LengthClass(dragonflypass.ClassCount) {
 		load.Wait[class] = backlog
 		switch {
@@ -55,6 +58,11 @@
 	return load
 }
 
+// sameModels reports whether two lists hold the same models.
+func sameModels(a, b []dragonflypass.ModelID) bool {
+	return len(a) == len(b) && !slices.ContainsFunc(a, func(m dragonflypass.ModelID) bool { return !slices.Contains(b, m) })
+}
+
 // Row is one owned server in a dump.
 type Row struct {
 	Server    dragonflypass.ServerID
--- a/core/scheduler/permit.go
+++ b/core/scheduler/permit.go
@@ -112,7 +112,7 @@
 func (s *Scheduler) rateOf(model dragonflypass.ModelID, now time.Time) float64 {
 	declared := 0.0
 	for _, srv := range s.servers {
-		if srv.reachable && srv.declared.Serves(model) {
+		if srv.reachable && srv.serves(model) {
 			declared += srv.declared.Prefill
 		}
 	}
--- a/core/scheduler/report.go
+++ b/core/scheduler/report.go
@@ -27,6 +27,7 @@
 			s.forget(srv)
 		}
 		srv.reachable, srv.reported, srv.epoch = true, true, report.Epoch
+		srv.models = report.Models
 		srv.closing = s.Current().Closing(string(report.Server), now)
 		srv.slots = s.Current().Slots(&srv.declared, now)
 		orphans = s.compare(srv, report, heard, now)
--- a/core/scheduler/server.go
+++ b/core/scheduler/server.go
@@ -35,6 +35,8 @@
 	declared dragonflypass.BackendServer
 	closing  time.Time
 	slots    int
+	// models are the loaded models as reported, none when the server does not say.
+	models []dragonflypass.ModelID
 	// reachable is set while the server's reports arrive.
 	reachable bool
 	epoch     uint64
@@ -87,7 +89,7 @@
 
 // mayServe reports whether the server is up, runs the model and is not excluded.
 func (s *server) mayServe(request *dragonflypass.PermitRequest) bool {
-	if !s.reachable || !s.reported || !s.declared.Serves(request.Model) {
+	if !s.reachable || !s.reported || !s.serves(request.Model) {
 		return false
 	}
 	if request.Only != "" && request.Only != s.declared.ID {
@@ -96,6 +98,27 @@
 	return !slices.Contains(request.Exclude, s.declared.ID)
 }
 
+// serves reports whether the server has the model loaded, or is declared to where it does not say.
+func (s *server) serves(model dragonflypass.ModelID) bool {
+	if len(s.models) == 0 {
+		return s.declared.Serves(model)
+	}
+	return slices.Contains(s.models, model)
+}
+
+// Loaded returns the models that the owned servers report as loaded; servers that do not say are left out.
+func (s *Scheduler) Loaded() map[dragonflypass.ServerID][]dragonflypass.ModelID {
+	s.serversLock.Lock()
+	defer s.serversLock.Unlock()
+	loaded := make(map[dragonflypass.ServerID][]dragonflypass.ModelID)
+	for id, srv := range s.servers {
+		if srv.reachable && srv.reported && len(srv.models) > 0 {
+			loaded[id] = slices.Clone(srv.models)
+		}
+	}
+	return loaded
+}
+
 // closes reports whether the request might not end before the server's next window.
 func (s *server) closes(request *dragonflypass.PermitRequest, now time.Time) bool {
 	if s.closing.IsZero() {
--- a/errors.go
+++ b/errors.go
@@ -78,6 +78,8 @@
 	ErrTrimmed = errors.New("offset no longer kept")
 	// ErrRefused means that the other side answered that it did not run the call.
 	ErrRefused = errors.New("refused before running")
+	// ErrFenced means that the other side has seen a newer fencing number.
+	ErrFenced = errors.New("fencing number is old")
 	// ErrBroken means that a stream broke before its last frame.
 	ErrBroken = errors.New("stream broken")
 	// ErrUnknown means that the other side does not know what it was asked for.
--- a/internal/fake/engines.go
+++ b/internal/fake/engines.go
@@ -282,3 +282,16 @@
 	}
 	return report, ctx.Err()
 }
+
+// Order has the server load or unload a model.
+func (e *Engines) Order(_ context.Context, server netip.AddrPort, order dragonflypass.Order) error {
+	engine, ok := e.find(server)
+	if !ok || engine.Down() {
+		return dragonflypass.ErrUnavailable
+	}
+	err := engine.Obey(order)
+	if err != nil && !errors.Is(err, dragonflypass.ErrFenced) {
+		return dragonflypass.ErrRefused
+	}
+	return err
+}
--- a/ports.go
+++ b/ports.go
@@ -31,6 +31,7 @@
 	JobCancel    JobKind = "cancel"
 	JobSweep     JobKind = "sweep"
 	JobPeer      JobKind = "peer"
+	JobOrder     JobKind = "order"
 )
 
 // Pool runs jobs on a fixed number of workers.
@@ -67,6 +68,9 @@
 	Cancel(ctx context.Context, server netip.AddrPort, stream StreamID) error
 	// Report returns the server's lagging report.
 	Report(ctx context.Context, server netip.AddrPort) (ServerReport, error)
+	// Order has the server load or unload a model.
+	// Errors: ErrFenced when the fencing number is old, ErrRefused when the server cannot now, else as for Cancel.
+	Order(ctx context.Context, server netip.AddrPort, order Order) error
 }
 
 // EngineCall is one attempt to run a request at a backend server.
--- a/server.go
+++ b/server.go
@@ -42,7 +42,9 @@
 	// Epoch changes each time the server starts.
 	Epoch uint64
 	// Used is the KV memory in use in tokens.
-	Used    int
+	Used int
+	// Models are the models that are loaded, none when the server does not say.
+	Models  []ModelID
 	Streams []StreamReport
 	At      time.Time
 }
@@ -67,6 +69,8 @@
 	Wait [ClassCount]time.Duration
 	// Closing is the instant after which the server takes no work, zero when none is planned.
 	Closing time.Time
+	// Models are the loaded models where they are not the declared ones, else none.
+	Models []ModelID
 }
 
 // Service is a plain service beside the model engines.
--- a/standin/generator/engine.go
+++ b/standin/generator/engine.go
@@ -58,20 +58,14 @@
 	wake    chan struct{}
 	reports []dragonflypass.ServerReport
 	fence   uint64
-	orders  []Order
 	started int
 	deaths  int
+	// Weights fetches a model's weights from the weight store, nil where they are always at hand.
+	Weights func(model dragonflypass.ModelID) error
 	// Fetch returns the text of a part that another engine exports.
 	Fetch func(part dragonflypass.Import) (string, error)
 }
 
-// Order is an instruction to the engine with its fencing number.
-type Order struct {
-	Fence uint64 `json:"fence"`
-	Kind  string `json:"kind"`
-	Model string `json:"model"`
-}
-
 // Call is a request to the engine.
 type Call struct {
 	Stream   dragonflypass.StreamID
@@ -329,7 +323,7 @@
 	if e.down {
 		return dragonflypass.ServerReport{}, ErrDown
 	}
-	report := dragonflypass.ServerReport{Server: e.ID, Epoch: e.epoch, Used: e.used(), At: now}
+	report := dragonflypass.ServerReport{Server: e.ID, Epoch: e.epoch, Used: e.used(), Models: slices.Clone(e.Models), At: now}
 	for _, s := range e.streams {
 		report.Streams = append(report.Streams, dragonflypass.StreamReport{Stream: s.call.Stream, Tokens: s.memory(), Prefilled: s.filled >= s.prompt})
 	}
@@ -398,25 +392,40 @@
 	return e.started
 }
 
-// Obey carries out an order, unless the engine is fenced and the order's number is old.
-func (e *Engine) Obey(order Order) bool {
+// Obey carries out an order, unless the engine is fenced and the order's number is old, or the weights are not to be had.
+func (e *Engine) Obey(order dragonflypass.Order) error {
+	if err := e.fetchWeights(order); err != nil {
+		return err
+	}
 	e.mutex.Lock()
 	defer e.mutex.Unlock()
-	if e.Fenced && order.Fence < e.fence {
-		return false
+	switch {
+	case e.down:
+		return ErrDown
+	case e.Fenced && uint64(order.Fence) < e.fence:
+		return dragonflypass.ErrFenced
 	}
-	e.fence = max(e.fence, order.Fence)
-	e.orders = append(e.orders, order)
-	model := dragonflypass.ModelID(order.Model)
-	switch order.Kind {
-	case "load":
-		if !slices.Contains(e.Models, model) {
-			e.Models = append(e.Models, model)
-		}
-	case "unload":
-		e.Models = slices.DeleteFunc(slices.Clone(e.Models), func(m dragonflypass.ModelID) bool { return m == model })
+	e.fence = max(e.fence, uint64(order.Fence))
+	rest := slices.DeleteFunc(slices.Clone(e.Models), func(m dragonflypass.ModelID) bool { return m == order.Model })
+	if !order.Unload {
+		rest = append(rest, order.Model)
 	}
-	return true
+	e.Models = rest
+	return nil
+}
+
+func (e *Engine) fetchWeights(order dragonflypass.Order) error {
+	if order.Unload || e.Weights == nil {
+		return nil
+	}
+	return e.Weights(order.Model)
+}
+
+// Loaded returns the loaded models.
+func (e *Engine) Loaded() []dragonflypass.ModelID {
+	e.mutex.Lock()
+	defer e.mutex.Unlock()
+	return slices.Clone(e.Models)
 }
 
 // Down reports whether the engine has died.
@@ -435,3 +444,17 @@
 	defer e.mutex.Unlock()
 	e.Lag = lag
 }
+
+// Fence returns the newest fencing number that the engine has seen.
+func (e *Engine) Fence() uint64 {
+	e.mutex.Lock()
+	defer e.mutex.Unlock()
+	return e.fence
+}
+
+// Forget has the engine lose a model.
+func (e *Engine) Forget(model dragonflypass.ModelID) {
+	e.mutex.Lock()
+	defer e.mutex.Unlock()
+	e.Models = slices.DeleteFunc(slices.Clone(e.Models), func(m dragonflypass.ModelID) bool { return m == model })
+}
--- a/standin/generator/server.go
+++ b/standin/generator/server.go
@@ -201,14 +201,19 @@
 }
 
 func (e *Engine) order(w http.ResponseWriter, r *http.Request) {
-	var order Order
-	if err := json.NewDecoder(r.Body).Decode(&order); err != nil {
+	var wire streamer.Order
+	if err := json.NewDecoder(r.Body).Decode(&wire); err != nil {
 		http.Error(w, err.Error(), http.StatusBadRequest)
 		return
 	}
-	if !e.Obey(order) {
+	order := dragonflypass.Order{Model: dragonflypass.ModelID(wire.Model), Unload: wire.Kind == streamer.OrderUnload, Fence: dragonflypass.Offset(wire.Fence)}
+	err := e.Obey(order)
+	switch {
+	case errors.Is(err, dragonflypass.ErrFenced):
 		http.Error(w, "old fencing number", http.StatusConflict)
-		return
+	case err != nil:
+		http.Error(w, err.Error(), http.StatusServiceUnavailable)
+	default:
+		w.WriteHeader(http.StatusNoContent)
 	}
-	w.WriteHeader(http.StatusNoContent)
 }
