Close a fifth of a zone's servers to long prompts, rather than a third

Cause: with a third closed, long prompts of the steady load filled the others and small accounts' later prompts waited.

--- a/core/scheduler/server.go
+++ b/core/scheduler/server.go
@@ -282,7 +282,7 @@
 }
 
 // closedPart is the part of a zone's servers of one kind that take no long prompts.
-const closedPart = 1.0 / 3
+const closedPart = 0.2
 
 // closedToLong reports whether the server is among those of its zone that are kept for short prompts: the
 // last by identifier of those that run its first model, of which at least one stays open.
