--- a/adapter/administrator/administrator.go
+++ b/adapter/administrator/administrator.go
@@ -18,6 +18,7 @@
 	"github.com/dragonflypass/dragonflypass/core/claimer"
 	"github.com/dragonflypass/dragonflypass/core/composer"
 	"github.com/dragonflypass/dragonflypass/core/configurer"
+	"github.com/dragonflypass/dragonflypass/core/waiter"
 )
 
 const (
@@ -191,12 +192,7 @@
 		if nodes == known {
 			return nodes, known
 		}
-		waited := make(chan struct{})
-		stop := a.Core.Ports.Timer.At(dragonflypass.JobSweep, a.Core.Ports.Timer.Now().Add(forceCheck), func(context.Context) { close(waited) })
-		select {
-		case <-waited:
-		case <-ctx.Done():
-			stop()
+		if !waiter.Wait(ctx, a.Core.Ports.Timer, forceCheck) {
 			return nodes, known
 		}
 	}
--- a/adapter/appender/appender.go
+++ b/adapter/appender/appender.go
@@ -4,10 +4,8 @@
 	"bytes"
 	"context"
 	"encoding/json"
-	"errors"
 	"fmt"
 	"io"
-	"net"
 	"net/http"
 	"net/netip"
 	"net/url"
@@ -16,6 +14,7 @@
 	"github.com/rotisserie/eris"
 
 	"github.com/dragonflypass/dragonflypass"
+	"github.com/dragonflypass/dragonflypass/adapter/dialer"
 	"github.com/dragonflypass/dragonflypass/adapter/encoder"
 )
 
@@ -59,9 +58,7 @@
 
 // New returns a client of the log at the address.
 func New(address netip.AddrPort) *Appender {
-	dialer := &net.Dialer{Timeout: dialTimeout}
-	transport := &http.Transport{DialContext: dialer.DialContext, IdleConnTimeout: time.Minute}
-	return &Appender{Address: address, client: &http.Client{Transport: transport}}
+	return &Appender{Address: address, client: &http.Client{Transport: dialer.NewTransport(dialTimeout)}}
 }
 
 // Close drops the unused connections.
@@ -90,8 +87,7 @@
 
 // sendError tells a connection that was never made from a call whose answer was lost.
 func sendError(err error) error {
-	var op *net.OpError
-	if errors.As(err, &op) && op.Op == "dial" {
+	if dialer.Unmade(err) {
 		return eris.Wrap(dragonflypass.ErrUnavailable, err.Error())
 	}
 	return eris.Wrap(dragonflypass.ErrUncertain, err.Error())
--- a/adapter/invoker/invoker.go
+++ b/adapter/invoker/invoker.go
@@ -3,15 +3,14 @@
 import (
 	"bytes"
 	"context"
-	"errors"
 	"io"
-	"net"
 	"net/http"
 	"time"
 
 	"github.com/rotisserie/eris"
 
 	"github.com/dragonflypass/dragonflypass"
+	"github.com/dragonflypass/dragonflypass/adapter/dialer"
 )
 
 const (
@@ -32,10 +31,11 @@
 
 // New returns a client of plain services.
 func New() *Invoker {
-	dialer := &net.Dialer{Timeout: dialTimeout}
+	transport := dialer.NewTransport(dialTimeout)
+	// A connection used once cannot break because it was idle, so a call that broke was sent.
+	transport.DisableKeepAlives = true
 	return &Invoker{client: &http.Client{
-		// A connection used once cannot break because it was idle, so a call that broke was sent.
-		Transport: &http.Transport{DialContext: dialer.DialContext, DisableKeepAlives: true},
+		Transport: transport,
 		CheckRedirect: func(*http.Request, []*http.Request) error {
 			return http.ErrUseLastResponse
 		},
@@ -69,8 +69,7 @@
 
 // sendError tells a connection that was never made from a call that may have run.
 func sendError(err error) error {
-	var op *net.OpError
-	if errors.As(err, &op) && op.Op == "dial" {
+	if dialer.Unmade(err) {
 		return eris.Wrap(dragonflypass.ErrUnavailable, err.Error())
 	}
 	return eris.Wrap(dragonflypass.ErrUncertain, err.Error())
--- a/adapter/lister/lister.go
+++ b/adapter/lister/lister.go
@@ -11,8 +11,12 @@
 	"github.com/rotisserie/eris"
 
 	"github.com/dragonflypass/dragonflypass"
+	"github.com/dragonflypass/dragonflypass/adapter/dialer"
 )
 
+// dialTimeout bounds the making of a connection to the platform.
+const dialTimeout = time.Second
+
 // List is the JSON form of the platform's list.
 type List struct {
 	VMs []VM `json:"vms"`
@@ -38,7 +42,7 @@
 
 // New returns a client of the list at the address.
 func New(address netip.AddrPort) *Lister {
-	return &Lister{Address: address, client: &http.Client{Transport: &http.Transport{IdleConnTimeout: time.Minute}}}
+	return &Lister{Address: address, client: &http.Client{Transport: dialer.NewTransport(dialTimeout)}}
 }
 
 // Close drops the unused connections.
--- a/adapter/streamer/streamer.go
+++ b/adapter/streamer/streamer.go
@@ -5,10 +5,8 @@
 	"bytes"
 	"context"
 	"encoding/json"
-	"errors"
 	"fmt"
 	"io"
-	"net"
 	"net/http"
 	"net/netip"
 	"net/url"
@@ -17,6 +15,7 @@
 	"github.com/rotisserie/eris"
 
 	"github.com/dragonflypass/dragonflypass"
+	"github.com/dragonflypass/dragonflypass/adapter/dialer"
 )
 
 const (
@@ -37,13 +36,9 @@
 
 // New returns a client of the engines.
 func New() *Streamer {
-	dialer := &net.Dialer{Timeout: dialTimeout}
-	return &Streamer{client: &http.Client{Transport: &http.Transport{
-		DialContext:         dialer.DialContext,
-		MaxIdleConnsPerHost: idleConnections,
-		IdleConnTimeout:     time.Minute,
-		DisableCompression:  true,
-	}}}
+	transport := dialer.NewTransport(dialTimeout)
+	transport.MaxIdleConnsPerHost = idleConnections
+	return &Streamer{client: &http.Client{Transport: transport}}
 }
 
 // Close drops the unused connections.
@@ -135,8 +130,7 @@
 
 // sendError tells a connection that was never made from one that broke.
 func sendError(ctx context.Context, err error) error {
-	var op *net.OpError
-	if errors.As(err, &op) && op.Op == "dial" {
+	if dialer.Unmade(err) {
 		return eris.Wrap(dragonflypass.ErrUnavailable, err.Error())
 	}
 	if ctx.Err() != nil {
--- a/core/claimer/claimer.go
+++ b/core/claimer/claimer.go
@@ -5,7 +5,6 @@
 	"crypto/rand"
 	"errors"
 	"fmt"
-	"slices"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -13,6 +12,7 @@
 
 	"github.com/dragonflypass/dragonflypass"
 	"github.com/dragonflypass/dragonflypass/core/locker"
+	"github.com/dragonflypass/dragonflypass/core/waiter"
 )
 
 // ErrOpen means that a claim cannot be settled because its VM may still send the call.
@@ -54,35 +54,6 @@
 	shards []*shard
 }
 
-// shard is one claim stream with its table.
-type shard struct {
-	stream dragonflypass.Stream
-
-	mutex locker.Mutex
-	fold  *Fold
-	// changed is closed and replaced each time the fold moves.
-	changed chan struct{}
-	// given holds this VM's claims that will not be sent, until the log shows that they are void.
-	given map[dragonflypass.Nonce]given
-	// ends holds outcomes that are not in the log yet.
-	ends []dragonflypass.ClaimEnd
-	// reading is held while the stream is read, so that entries are folded in order.
-	reading chan struct{}
-}
-
-// given is a claim that was given up at the instant.
-type given struct {
-	key dragonflypass.ClaimKey
-	at  time.Time
-}
-
-// give notes that the claim's call will not be sent.
-func (s *shard) give(claim dragonflypass.Claim, now time.Time) {
-	s.mutex.Lock()
-	defer s.mutex.Unlock()
-	s.given[claim.Nonce] = given{key: claim.Key, at: now}
-}
-
 // New returns a claimer over the given number of shards.
 func New(shards int, retention, remember time.Duration) *Claimer {
 	c := &Claimer{Retention: retention, Remember: remember}
@@ -114,111 +85,6 @@
 	return c.shards[xxhash.Sum64(key.Key[:])%uint64(len(c.shards))]
 }
 
-// follow reads what is new and writes what this VM still owes the log.
-func (c *Claimer) follow(ctx context.Context, s *shard) {
-	if c.read(ctx, s) != nil {
-		c.Meter.Add(dragonflypass.CountLogFailed, 1)
-		return
-	}
-	owed := s.owed(c.Timer.Now())
-	for _, end := range owed {
-		if c.append(ctx, s, dragonflypass.Record{End: &end}) != nil {
-			return
-		}
-		s.paid(end)
-	}
-	if len(owed) > 0 {
-		_ = c.read(ctx, s)
-	}
-}
-
-// owed returns the outcomes to be written: those not in the log yet and the
-// void ones of claims that surfaced after they were given up.
-func (s *shard) owed(now time.Time) []dragonflypass.ClaimEnd {
-	s.mutex.Lock()
-	defer s.mutex.Unlock()
-	owed := slices.Clone(s.ends)
-	for nonce, g := range s.given {
-		if holding := s.fold.Holding(g.key); holding != nil && holding.Claim.Nonce == nonce {
-			owed = append(owed, dragonflypass.ClaimEnd{Key: g.key, Nonce: nonce, Void: true})
-		}
-		if now.Sub(g.at) > s.fold.Retention {
-			delete(s.given, nonce)
-		}
-	}
-	return owed
-}
-
-func (s *shard) paid(end dragonflypass.ClaimEnd) {
-	s.mutex.Lock()
-	defer s.mutex.Unlock()
-	s.ends = slices.DeleteFunc(s.ends, func(e dragonflypass.ClaimEnd) bool { return e.Nonce == end.Nonce })
-}
-
-func (c *Claimer) append(ctx context.Context, s *shard, record dragonflypass.Record) error {
-	ctx, cancel := c.Timer.WithDeadline(ctx, c.Timer.Now().Add(logTimeout))
-	defer cancel()
-	_, err := c.Log.Append(ctx, s.stream, record)
-	if err != nil {
-		c.Meter.Add(dragonflypass.CountLogFailed, 1)
-	}
-	return err
-}
-
-// read folds in what is new in the shard's stream.
-func (c *Claimer) read(ctx context.Context, s *shard) error {
-	select {
-	case s.reading <- struct{}{}:
-	case <-ctx.Done():
-		return context.Cause(ctx)
-	}
-	defer func() { <-s.reading }()
-	for {
-		s.mutex.Lock()
-		from := s.fold.Offset() + 1
-		s.mutex.Unlock()
-		page, err := c.readPage(ctx, s, from)
-		if errors.Is(err, dragonflypass.ErrTrimmed) && page.First > from {
-			page, err = c.readPage(ctx, s, page.First)
-		}
-		if err != nil {
-			return err
-		}
-		if len(page.Entries) == 0 {
-			return nil
-		}
-		s.apply(page.Entries)
-	}
-}
-
-func (c *Claimer) readPage(ctx context.Context, s *shard, from dragonflypass.Offset) (dragonflypass.Page, error) {
-	ctx, cancel := c.Timer.WithDeadline(ctx, c.Timer.Now().Add(logTimeout))
-	defer cancel()
-	return c.Log.Read(ctx, s.stream, from, pageLimit)
-}
-
-func (s *shard) apply(entries []dragonflypass.Entry) {
-	s.mutex.Lock()
-	defer s.mutex.Unlock()
-	for _, entry := range entries {
-		s.fold.Apply(entry)
-		if end := entry.Record.End; end != nil && end.Void {
-			delete(s.given, end.Nonce)
-		}
-		if claim := entry.Record.Claim; claim != nil && !s.holds(claim) {
-			delete(s.given, claim.Nonce)
-		}
-	}
-	close(s.changed)
-	s.changed = make(chan struct{})
-}
-
-// holds reports whether the claim holds its key; it is called with the mutex held.
-func (s *shard) holds(claim *dragonflypass.Claim) bool {
-	holding := s.fold.Holding(claim.Key)
-	return holding != nil && holding.Claim.Nonce == claim.Nonce
-}
-
 // Once runs the call if its key was never claimed, and else returns what became of the earlier run.
 //
 // send is called at most once for each key, whatever fails; it returns
@@ -286,15 +152,6 @@
 	return dragonflypass.Refuse(dragonflypass.ReasonNoLog, time.Second, "calls that run at most once need the platform's log, which does not answer")
 }
 
-func (s *shard) holding(key dragonflypass.ClaimKey) (Holding, bool) {
-	s.mutex.Lock()
-	defer s.mutex.Unlock()
-	if held := s.fold.Holding(key); held != nil {
-		return *held, true
-	}
-	return Holding{}, false
-}
-
 // find reads the stream until some claim holds the key; the given one's append may have failed or be on its way.
 func (c *Claimer) find(ctx context.Context, s *shard, claim dragonflypass.Claim) (Holding, bool) {
 	for {
@@ -302,12 +159,7 @@
 		if held, ok := s.holding(claim.Key); ok {
 			return held, true
 		}
-		waited := make(chan struct{})
-		stop := c.Timer.At(dragonflypass.JobClaim, c.Timer.Now().Add(readRetry), func(context.Context) { close(waited) })
-		select {
-		case <-waited:
-		case <-ctx.Done():
-			stop()
+		if !waiter.Wait(ctx, c.Timer, readRetry) {
 			return Holding{}, false
 		}
 	}
@@ -388,55 +240,3 @@
 		Detail: "a call with this key is under way",
 	}
 }
-
-// keep copies holdings whose records the log will drop, spread over the VMs by chance of who comes first.
-func (c *Claimer) keep(ctx context.Context, s *shard) {
-	if c.read(ctx, s) != nil {
-		return
-	}
-	s.mutex.Lock()
-	stale := s.fold.Stale(c.Timer.Now(), c.Retention/keepParts)
-	s.mutex.Unlock()
-	for _, holding := range stale[:min(len(stale), copiesAtOnce)] {
-		record := dragonflypass.ClaimCopy{Claim: holding.Claim}
-		if holding.State != dragonflypass.ClaimOpen {
-			record.End = &holding.End
-		}
-		if c.append(ctx, s, dragonflypass.Record{Copy: &record}) != nil {
-			return
-		}
-		c.Meter.Add(dragonflypass.CountClaimCopied, 1)
-	}
-}
-
-// Open returns the claims without a known outcome, the oldest first.
-func (c *Claimer) Open() []Holding {
-	var open []Holding
-	for _, s := range c.shards {
-		s.mutex.Lock()
-		open = append(open, s.fold.Open()...)
-		s.mutex.Unlock()
-	}
-	slices.SortFunc(open, func(a, b Holding) int { return a.Claim.At.Compare(b.Claim.At) })
-	return open
-}
-
-// Settle records an operator's word on a claim: ran keeps the key for good, else it is free again.
-// Errors: ErrUnknown when no such claim is open, ErrOpen when its VM may still send the call and gone is not set.
-func (c *Claimer) Settle(ctx context.Context, nonce dragonflypass.Nonce, ran, gone bool) error {
-	for _, holding := range c.Open() {
-		if holding.Claim.Nonce != nonce {
-			continue
-		}
-		if holding.State == dragonflypass.ClaimOpen && !gone {
-			return ErrOpen
-		}
-		end := dragonflypass.ClaimEnd{Key: holding.Claim.Key, Nonce: nonce, Settled: true, Void: !ran}
-		s := c.shard(holding.Claim.Key)
-		if err := c.append(ctx, s, dragonflypass.Record{End: &end}); err != nil {
-			return eris.Wrap(err, "claimer: record the settlement")
-		}
-		return c.read(ctx, s)
-	}
-	return dragonflypass.ErrUnknown
-}
--- /dev/null
+++ b/core/claimer/settle.go
@@ -0,0 +1,62 @@
+package claimer
+
+import (
+	"context"
+	"slices"
+
+	"github.com/rotisserie/eris"
+
+	"github.com/dragonflypass/dragonflypass"
+)
+
+// Open returns the claims without a known outcome, the oldest first.
+func (c *Claimer) Open() []Holding {
+	var open []Holding
+	for _, s := range c.shards {
+		s.mutex.Lock()
+		open = append(open, s.fold.Open()...)
+		s.mutex.Unlock()
+	}
+	slices.SortFunc(open, func(a, b Holding) int { return a.Claim.At.Compare(b.Claim.At) })
+	return open
+}
+
+// Settle records an operator's word on a claim: ran keeps the key for good, else it is free again.
+// Errors: ErrUnknown when no such claim is open, ErrOpen when its VM may still send the call and gone is not set.
+func (c *Claimer) Settle(ctx context.Context, nonce dragonflypass.Nonce, ran, gone bool) error {
+	for _, holding := range c.Open() {
+		if holding.Claim.Nonce != nonce {
+			continue
+		}
+		if holding.State == dragonflypass.ClaimOpen && !gone {
+			return ErrOpen
+		}
+		end := dragonflypass.ClaimEnd{Key: holding.Claim.Key, Nonce: nonce, Settled: true, Void: !ran}
+		s := c.shard(holding.Claim.Key)
+		if err := c.append(ctx, s, dragonflypass.Record{End: &end}); err != nil {
+			return eris.Wrap(err, "claimer: record the settlement")
+		}
+		return c.read(ctx, s)
+	}
+	return dragonflypass.ErrUnknown
+}
+
+// keep copies holdings whose records the log will drop, spread over the VMs by chance of who comes first.
+func (c *Claimer) keep(ctx context.Context, s *shard) {
+	if c.read(ctx, s) != nil {
+		return
+	}
+	s.mutex.Lock()
+	stale := s.fold.Stale(c.Timer.Now(), c.Retention/keepParts)
+	s.mutex.Unlock()
+	for _, holding := range stale[:min(len(stale), copiesAtOnce)] {
+		record := dragonflypass.ClaimCopy{Claim: holding.Claim}
+		if holding.State != dragonflypass.ClaimOpen {
+			record.End = &holding.End
+		}
+		if c.append(ctx, s, dragonflypass.Record{Copy: &record}) != nil {
+			return
+		}
+		c.Meter.Add(dragonflypass.CountClaimCopied, 1)
+	}
+}
--- /dev/null
+++ b/core/detector/exchange.go
@@ -0,0 +1,211 @@
+package detector
+
+import (
+	"context"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/dragonflypass/dragonflypass"
+)
+
+// Tick ages the states and sends the heartbeats that are due.
+func (d *Detector) Tick(context.Context) {
+	now := d.Timer.Now()
+	d.mutex.Lock()
+	changed := d.age(now)
+	due := d.due(now)
+	d.mutex.Unlock()
+	d.notify(changed)
+	for _, vm := range due {
+		if !d.Pool.Submit(dragonflypass.JobHeartbeat, func(ctx context.Context) { d.exchange(ctx, vm) }) {
+			d.settle(vm.ID)
+		}
+	}
+}
+
+// age moves VMs without word on to suspect and gone; it is called with the mutex held.
+func (d *Detector) age(now time.Time) (changed []dragonflypass.Member) {
+	interval := d.interval()
+	for id, m := range d.members {
+		silent := now.Sub(m.Heard)
+		before := m.State
+		switch {
+		case m.Heard.IsZero():
+		case silent > goneIntervals*interval:
+			m.State = dragonflypass.MemberGone
+		case silent > suspectIntervals*interval:
+			m.State = dragonflypass.MemberSuspect
+		}
+		if m.State != before {
+			m.Loads = nil
+			m.lose()
+			changed = append(changed, m.Member)
+		}
+		if m.State == dragonflypass.MemberGone && !m.listed {
+			delete(d.members, id)
+		}
+	}
+	if len(changed) > 0 {
+		d.others = nil
+	}
+	return changed
+}
+
+// interval is the time between two heartbeats to one VM; it is called with the mutex held.
+func (d *Detector) interval() time.Duration {
+	zone := 0
+	for _, m := range d.members {
+		if m.VM.Zone == d.Self.Zone && m.State == dragonflypass.MemberLive {
+			zone++
+		}
+	}
+	return max(d.Interval, time.Duration(zone)*zoneCost)
+}
+
+// due returns the neighbours whose heartbeat is due and marks them busy; it is called with the mutex held.
+func (d *Detector) due(now time.Time) []dragonflypass.VM {
+	interval := d.interval()
+	var due []dragonflypass.VM
+	for _, m := range d.neighbours() {
+		if m.busy || now.Sub(m.contacted) < interval {
+			continue
+		}
+		m.busy = true
+		m.contacted = now
+		due = append(due, m.VM)
+	}
+	return due
+}
+
+// neighbours returns the VMs of the own zone and a few of each other one; it is called with the mutex held.
+func (d *Detector) neighbours() []*member {
+	var near []*member
+	far := make(map[dragonflypass.AvailabilityZone][]*member)
+	for _, m := range d.members {
+		if m.VM.Zone == d.Self.Zone {
+			near = append(near, m)
+			continue
+		}
+		far[m.VM.Zone] = append(far[m.VM.Zone], m)
+	}
+	for _, group := range far {
+		near = append(near, d.chosen(group)...)
+	}
+	slices.SortFunc(near, func(a, b *member) int { return strings.Compare(string(a.VM.ID), string(b.VM.ID)) })
+	return near
+}
+
+// chosen returns the VMs of another zone that this VM talks to, preferring those not gone.
+func (d *Detector) chosen(group []*member) []*member {
+	slices.SortFunc(group, func(a, b *member) int {
+		goneA, goneB := a.State == dragonflypass.MemberGone, b.State == dragonflypass.MemberGone
+		if goneA != goneB {
+			if goneB {
+				return -1
+			}
+			return 1
+		}
+		if Score(string(d.Self.ID), a.VM.ID) > Score(string(d.Self.ID), b.VM.ID) {
+			return -1
+		}
+		return 1
+	})
+	return group[:min(len(group), remoteNeighbours)]
+}
+
+func (d *Detector) exchange(ctx context.Context, vm dragonflypass.VM) {
+	defer d.settle(vm.ID)
+	ctx, cancel := d.Timer.WithDeadline(ctx, d.Timer.Now().Add(d.Interval))
+	defer cancel()
+	d.Meter.Add(dragonflypass.CountHeartbeatSent, 1)
+	beat, err := d.Peers.Exchange(ctx, vm, d.beat(vm.ID))
+	if err != nil {
+		d.Meter.Add(dragonflypass.CountHeartbeatFailed, 1)
+		return
+	}
+	d.take(beat)
+}
+
+func (d *Detector) settle(id dragonflypass.VMID) {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	if m, ok := d.members[id]; ok {
+		m.busy = false
+	}
+}
+
+// beat makes the heartbeat for the other VM.
+func (d *Detector) beat(to dragonflypass.VMID) dragonflypass.Heartbeat {
+	d.mutex.Lock()
+	self := d.self()
+	d.mutex.Unlock()
+	kept, held := d.Held(to)
+	return dragonflypass.Heartbeat{
+		From:        self,
+		Incarnation: d.Incarnation,
+		Config:      d.Config(),
+		Loads:       d.Loads(),
+		Kept:        kept,
+		Held:        held,
+	}
+}
+
+// self is called with the mutex held.
+func (d *Detector) self() dragonflypass.VM {
+	vm := d.Self
+	vm.Leaving = d.leaving
+	return vm
+}
+
+// Exchange takes a heartbeat from another VM and returns this VM's own.
+func (d *Detector) Exchange(beat dragonflypass.Heartbeat) dragonflypass.Heartbeat {
+	d.take(beat)
+	d.contact(beat.From.ID)
+	return d.beat(beat.From.ID)
+}
+
+// contact notes that the VM has this one's news, so that one exchange in each interval serves both.
+func (d *Detector) contact(id dragonflypass.VMID) {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	if m, ok := d.members[id]; ok {
+		m.contacted = d.Timer.Now()
+	}
+}
+
+// take notes a heartbeat; one from an earlier incarnation of its VM is dropped.
+func (d *Detector) take(beat dragonflypass.Heartbeat) {
+	d.mutex.Lock()
+	m, known := d.members[beat.From.ID]
+	if !known {
+		m = newMember(beat.From, false)
+		m.listed = false
+		d.members[beat.From.ID] = m
+	}
+	if beat.Incarnation < m.Incarnation || beat.From.ID == d.Self.ID {
+		d.mutex.Unlock()
+		return
+	}
+	before := m.State
+	if m.Incarnation != beat.Incarnation {
+		m.lose()
+	}
+	m.VM = beat.From
+	m.Incarnation = beat.Incarnation
+	m.Heard = d.Timer.Now()
+	m.Config = beat.Config
+	m.Loads = beat.Loads
+	d.others = nil
+	m.State = dragonflypass.MemberLive
+	if beat.From.Leaving {
+		m.State = dragonflypass.MemberLeaving
+	}
+	var changed []dragonflypass.Member
+	if m.State != before {
+		changed = append(changed, m.Member)
+	}
+	d.mutex.Unlock()
+	d.notify(changed)
+	d.Received(beat)
+}
--- a/core/dispatcher/acquire.go
+++ b/core/dispatcher/acquire.go
@@ -10,6 +10,7 @@
 	"github.com/dragonflypass/dragonflypass"
 	"github.com/dragonflypass/dragonflypass/core/detector"
 	"github.com/dragonflypass/dragonflypass/core/quarantiner"
+	"github.com/dragonflypass/dragonflypass/core/waiter"
 )
 
 const (
@@ -50,7 +51,7 @@
 		if err == nil || ctx.Err() != nil || !cannotServe(err) {
 			return permit, err
 		}
-		if !d.Timer.Now().Before(until) || !d.fits(&request) || !d.pause(ctx, serverCheck) {
+		if !d.Timer.Now().Before(until) || !d.fits(&request) || !waiter.Wait(ctx, d.Timer, serverCheck) {
 			return dragonflypass.Permit{}, err
 		}
 	}
--- a/core/dispatcher/dispatcher.go
+++ b/core/dispatcher/dispatcher.go
@@ -15,6 +15,7 @@
 	"github.com/dragonflypass/dragonflypass/core/locker"
 	"github.com/dragonflypass/dragonflypass/core/quarantiner"
 	"github.com/dragonflypass/dragonflypass/core/retrier"
+	"github.com/dragonflypass/dragonflypass/core/waiter"
 )
 
 // The errors of this layer.
@@ -199,20 +200,7 @@
 		return false
 	}
 	d.Meter.Add(dragonflypass.CountRetried, 1)
-	return d.pause(ctx, retrier.Delay(j.retries))
-}
-
-// pause waits and reports whether ctx goes on.
-func (d *Dispatcher) pause(ctx context.Context, span time.Duration) bool {
-	waited := make(chan struct{})
-	stop := d.Timer.At(dragonflypass.JobSweep, d.Timer.Now().Add(span), func(context.Context) { close(waited) })
-	defer stop()
-	select {
-	case <-waited:
-		return true
-	case <-ctx.Done():
-		return false
-	}
+	return waiter.Wait(ctx, d.Timer, retrier.Delay(j.retries))
 }
 
 // refusal turns the error that ended a request into what its caller is told.
--- a/core/dispatcher/group.go
+++ b/core/dispatcher/group.go
@@ -11,6 +11,7 @@
 
 	"github.com/dragonflypass/dragonflypass"
 	"github.com/dragonflypass/dragonflypass/core/retrier"
+	"github.com/dragonflypass/dragonflypass/core/waiter"
 )
 
 const (
@@ -85,7 +86,7 @@
 			return g, err
 		}
 		late := !d.Timer.Now().Before(d.latestStart(j, d.Current()))
-		if late || !d.possible(j) || !d.pause(ctx, groupPause+retrier.Delay(number)) {
+		if late || !d.possible(j) || !waiter.Wait(ctx, d.Timer, groupPause+retrier.Delay(number)) {
 			return nil, err
 		}
 	}
--- a/core/forwarder/forwarder.go
+++ b/core/forwarder/forwarder.go
@@ -14,6 +14,7 @@
 	"github.com/dragonflypass/dragonflypass/core/claimer"
 	"github.com/dragonflypass/dragonflypass/core/locker"
 	"github.com/dragonflypass/dragonflypass/core/retrier"
+	"github.com/dragonflypass/dragonflypass/core/waiter"
 )
 
 const (
@@ -150,7 +151,7 @@
 			return answer, nil
 		}
 		sent = sent || errors.Is(err, dragonflypass.ErrUncertain)
-		if ctx.Err() != nil || !f.Retrier.Spend() || !f.pause(ctx, retrier.Delay(number)) {
+		if ctx.Err() != nil || !f.Retrier.Spend() || !waiter.Wait(ctx, f.Timer, retrier.Delay(number)) {
 			return dragonflypass.Answer{}, failure(ctx, sent)
 		}
 		f.Meter.Add(dragonflypass.CountRetried, 1)
@@ -168,18 +169,6 @@
 	return refusal
 }
 
-func (f *Forwarder) pause(ctx context.Context, span time.Duration) bool {
-	waited := make(chan struct{})
-	stop := f.Timer.At(dragonflypass.JobSweep, f.Timer.Now().Add(span), func(context.Context) { close(waited) })
-	defer stop()
-	select {
-	case <-waited:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
-
 // order returns the endpoints: up before down, the own zone's before others, in turn.
 func (f *Forwarder) order(service *dragonflypass.Service) []dragonflypass.Endpoint {
 	now := f.Timer.Now()
--- /dev/null
+++ b/core/waiter/doc.go
@@ -0,0 +1,2 @@
+// Package waiter lets a goroutine wait for a span of the timer service's time.
+package waiter
--- /dev/null
+++ b/standin/generator/fault.go
@@ -0,0 +1,74 @@
+package generator
+
+import (
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/dragonflypass/dragonflypass"
+)
+
+// Die ends every stream as a crash of the engine would.
+func (e *Engine) Die() {
+	e.mutex.Lock()
+	defer e.mutex.Unlock()
+	e.die()
+}
+
+// die is called with the mutex held.
+func (e *Engine) die() {
+	e.down = true
+	e.deaths++
+	for _, s := range e.streams {
+		e.drop(s)
+	}
+	e.reports = nil
+}
+
+// Revive starts the engine anew after it died.
+func (e *Engine) Revive() {
+	e.mutex.Lock()
+	defer e.mutex.Unlock()
+	e.down = false
+	e.epoch++
+	e.signal()
+}
+
+// Freeze stops or resumes all progress while connections stay open.
+func (e *Engine) Freeze(frozen bool) {
+	e.mutex.Lock()
+	defer e.mutex.Unlock()
+	e.frozen = frozen
+	e.signal()
+}
+
+// Deaths returns how often the engine died.
+func (e *Engine) Deaths() int {
+	e.mutex.Lock()
+	defer e.mutex.Unlock()
+	return e.deaths
+}
+
+// Down reports whether the engine has died.
+func (e *Engine) Down() bool {
+	e.mutex.Lock()
+	defer e.mutex.Unlock()
+	return e.down
+}
+
+// Dying reports whether the prompt makes the engine die.
+func (e *Engine) Dying(prompt string) bool { return strings.Contains(prompt, crashWord) }
+
+// SetLag sets the age of the reports.
+func (e *Engine) SetLag(lag time.Duration) {
+	e.mutex.Lock()
+	defer e.mutex.Unlock()
+	e.Lag = lag
+}
+
+// Forget has the engine lose a model.
+func (e *Engine) Forget(model dragonflypass.ModelID) {
+	e.mutex.Lock()
+	defer e.mutex.Unlock()
+	e.Models = slices.DeleteFunc(slices.Clone(e.Models), func(m dragonflypass.ModelID) bool { return m == model })
+}
