--- a/core/scheduler/scheduler.go
+++ b/core/scheduler/scheduler.go
@@ -155,7 +155,7 @@
 func (s *Scheduler) possible(request *dragonflypass.PermitRequest, now time.Time) *dragonflypass.Refusal {
 	serving, fitting := false, false
 	for _, srv := range s.servers {
-		if !srv.mayServe(request) || (srv.closed && isLong(request.PromptTokens) && request.Only == "") {
+		if !srv.mayServe(request) || srv.refusesLong(request) {
 			continue
 		}
 		serving = true
@@ -248,7 +248,7 @@
 			continue
 		}
 		switch {
-		case srv.closed && isLong(request.PromptTokens) && request.Only == "":
+		case srv.refusesLong(request):
 		case !srv.holds(request):
 			if srv.declared.Memory >= request.Tokens() && srv.freer(freest) {
 				freest = srv
--- a/core/scheduler/server.go
+++ b/core/scheduler/server.go
@@ -106,19 +106,6 @@
 	return slices.Contains(s.models, model)
 }
 
-// Loaded returns the models that the owned servers report as loaded; servers that do not say are left out.
-func (s *Scheduler) Loaded() map[dragonflypass.ServerID][]dragonflypass.ModelID {
-	s.serversLock.Lock()
-	defer s.serversLock.Unlock()
-	loaded := make(map[dragonflypass.ServerID][]dragonflypass.ModelID)
-	for id, srv := range s.servers {
-		if srv.reachable && srv.reported && len(srv.models) > 0 {
-			loaded[id] = slices.Clone(srv.models)
-		}
-	}
-	return loaded
-}
-
 // closes reports whether the request might not end before the server's next window.
 func (s *server) closes(request *dragonflypass.PermitRequest, now time.Time) bool {
 	if s.closing.IsZero() {
@@ -150,6 +137,11 @@
 	return !s.behind && s.levels[levelOf(w)].Sub(now) <= prefillAhead
 }
 
+// refusesLong reports whether the request is a long prompt at a server that takes none; a group's parts it takes.
+func (s *server) refusesLong(request *dragonflypass.PermitRequest) bool {
+	return s.closed && isLong(request.PromptTokens) && request.Only == ""
+}
+
 // takesAny reports whether the server's prompt processing has room for a request of some level.
 func (s *server) takesAny(now time.Time) bool {
 	return (!s.behind && s.levels[0].Sub(now) <= prefillAhead) || (!s.hasLong && !s.closed)
@@ -196,8 +188,7 @@
 	}
 }
 
-// start accounts for a granted request.
-// Below reports whether a rank is below its floor.
+// start accounts for a granted request; below reports whether a rank is below its floor.
 func (s *server) start(w *dragonflypass.Waiting, now time.Time, below func(dragonflypass.Rank) bool) {
 	request := &w.Request
 	s.reserved += request.Tokens()
@@ -248,69 +239,3 @@
 	// backlog is the instant since which requests have been waiting without a break.
 	backlog time.Time
 }
-
-// Own sets the backend servers that this VM owns and refuses what waits for none of them.
-func (s *Scheduler) Own(servers []dragonflypass.BackendServer) {
-	now := s.Timer.Now()
-	current := s.Current()
-	s.serversLock.Lock()
-	s.queuesLock.Lock()
-	s.permitsLock.Lock()
-	kept := make(map[dragonflypass.ServerID]*server, len(servers))
-	for _, declared := range servers {
-		srv, ok := s.servers[declared.ID]
-		if !ok || srv.declared.Address != declared.Address {
-			srv = &server{}
-		}
-		srv.declared = declared
-		srv.closing = current.Closing(string(declared.ID), now)
-		srv.slots = current.Slots(&declared, now)
-		srv.closed = closedToLong(current, &declared)
-		kept[declared.ID] = srv
-	}
-	for _, p := range s.permits {
-		if kept[p.held.Server] == nil {
-			s.discard(p)
-		}
-	}
-	s.servers = kept
-	s.permitsLock.Unlock()
-	s.queuesLock.Unlock()
-	s.serversLock.Unlock()
-	s.Recheck()
-	s.dispatch()
-}
-
-// closedPart is the part of a zone's servers of one kind that take no long prompts.
-const closedPart = 0.2
-
-// closedToLong reports whether the server is among those of its zone that are kept for short prompts: the
-// last by identifier of those that run its first model, of which at least one stays open.
-func closedToLong(current *dragonflypass.Configuration, server *dragonflypass.BackendServer) bool {
-	if len(server.Models) == 0 {
-		return false
-	}
-	zone, before := 0, 0
-	for _, other := range current.ServersOf(server.Models[0]) {
-		if other.Zone != server.Zone {
-			continue
-		}
-		zone++
-		if other.ID < server.ID {
-			before++
-		}
-	}
-	closed := int(closedPart * float64(zone))
-	return before >= zone-closed && zone > 1
-}
-
-// Owned returns the backend servers that this VM owns.
-func (s *Scheduler) Owned() []dragonflypass.BackendServer {
-	s.serversLock.Lock()
-	defer s.serversLock.Unlock()
-	owned := make([]dragonflypass.BackendServer, 0, len(s.servers))
-	for _, srv := range s.servers {
-		owned = append(owned, srv.declared)
-	}
-	return owned
-}
--- a/standin/starter/starter.go
+++ b/standin/starter/starter.go
@@ -29,13 +29,15 @@
 
 // The names and credentials of a site.
 const (
-	Model       = "small"
-	ServiceName = "pairing"
-	adminSecret = "site-admin-secret"
-	peerSecret  = "site-peers-secret"
-	headerTime  = 5 * time.Second
-	readyTime   = 15 * time.Second
-	readyCheck  = 50 * time.Millisecond
+	Model = "small"
+	// PrivateModel is a model that no client account may use.
+	PrivateModel = "private"
+	ServiceName  = "pairing"
+	adminSecret  = "site-admin-secret"
+	peerSecret   = "site-peers-secret"
+	headerTime   = 5 * time.Second
+	readyTime    = 15 * time.Second
+	readyCheck   = 50 * time.Millisecond
 )
 
 // Keys are the bearer keys of the site's client accounts, one for each rank.
@@ -164,6 +166,7 @@
 	}
 	const modelLimit = 1_000_000
 	add(dragonflypass.SectionModel, Model, encoder.Item{Model: &encoder.Model{ID: Model, Version: "1", Limit: modelLimit}})
+	add(dragonflypass.SectionModel, PrivateModel, encoder.Item{Model: &encoder.Model{ID: PrivateModel, Version: "1", Limit: modelLimit}})
 	for i, e := range s.Engines {
 		add(dragonflypass.SectionServer, string(e.ID), encoder.Item{Server: &encoder.Server{
 			ID: string(e.ID), Zone: Zone(i), Address: s.addresses[i], Models: []string{Model},
