--- a/examples/site/faults.sh
+++ b/examples/site/faults.sh
@@ -1,6 +1,6 @@
 #!/usr/bin/env bash
 # Kills real processes of a site while requests run, and checks what must hold:
-# requests end in time, memory comes back, no confirmation runs twice.
+# requests end in time, a planned stop cuts nothing, memory comes back, no confirmation runs twice.
 #
 # Usage: examples/site/faults.sh FOLDER
 set -euo pipefail
@@ -52,6 +52,22 @@
 whole=$(cat "$folder"/status-* | grep -o 200 | wc -l)
 check "12 of 12 answers after a server was killed ($whole)" [ "$whole" -eq 12 ]
 
+# 7: an entry VM is told to stop while a stream runs; the stream ends whole, new work is refused at once.
+(complete 6 1500 "$folder/answer-stop" >"$folder/status-stop") &
+job=$!
+sleep 1
+kill -USR1 "$(cat "$folder/vm-6.pid")"
+kill -TERM "$(cat "$folder/vm-6.pid")"
+sleep 0.5
+refused=$(complete 6 5 "$folder/answer-refused")
+ready=$(curl -s -m 2 -o /dev/null -w '%{http_code}' "http://127.0.0.1:$((port + 106))/readyz" || true)
+wait "$job" || true
+check "a stream outlives the stop of its entry VM ($(cat "$folder/status-stop"))" [ "$(cat "$folder/status-stop")" = 200 ]
+check "the answer is whole" grep -q '"completion_tokens":1500' "$folder/answer-stop"
+check "new work is refused as not run ($refused)" grep -q '"ran":"not"' "$folder/answer-refused"
+check "the health check fails at once ($ready)" [ "$ready" = 503 ]
+check "the state was written on SIGUSR1" grep -q '"incarnation"' "$folder/vm-6.log"
+
 # 2: an entry VM dies with streams open; what they held comes back within lease, lag and two heartbeats.
 for i in $(seq 1 6); do (complete 1 20000 /dev/null >/dev/null 2>&1) & done
 sleep 2
