--- a/adapter/responder/body.go
+++ b/adapter/responder/body.go
@@ -55,3 +55,13 @@
 	}
 	return free, nil
 }
+
+// open returns the account of a request and reads its JSON body into the value; free gives the body's memory back.
+func (r *Responder) open(w http.ResponseWriter, request *http.Request, into any) (account *dragonflypass.ClientAccount, free func(), refusal *dragonflypass.Refusal) {
+	account, refusal = r.authenticate(request)
+	if refusal != nil {
+		return nil, nil, refusal
+	}
+	free, refusal = r.readJSON(w, request, into)
+	return account, free, refusal
+}
--- a/adapter/responder/chat_create.go
+++ b/adapter/responder/chat_create.go
@@ -31,13 +31,8 @@
 }
 
 func (r *Responder) createChat(w http.ResponseWriter, request *http.Request) {
-	account, refusal := r.authenticate(request)
-	if refusal != nil {
-		r.refuse(w, refusal)
-		return
-	}
 	var body chatBody
-	free, refusal := r.readJSON(w, request, &body)
+	account, free, refusal := r.open(w, request, &body)
 	if refusal != nil {
 		r.refuse(w, refusal)
 		return
--- a/adapter/responder/completion_create.go
+++ b/adapter/responder/completion_create.go
@@ -29,13 +29,8 @@
 }
 
 func (r *Responder) createCompletion(w http.ResponseWriter, request *http.Request) {
-	account, refusal := r.authenticate(request)
-	if refusal != nil {
-		r.refuse(w, refusal)
-		return
-	}
 	var body completionBody
-	free, refusal := r.readJSON(w, request, &body)
+	account, free, refusal := r.open(w, request, &body)
 	if refusal != nil {
 		r.refuse(w, refusal)
 		return
--- a/core/composer/composer_test.go
+++ b/core/composer/composer_test.go
@@ -20,7 +20,7 @@
 	os.Exit(m.Run())
 }
 
-// withSite runs the test in virtual time on a site that is up.
+// withSite runs the test in virtual time on a site that is up; a sleep in it lets virtual time pass and costs none.
 func withSite(t *testing.T, nodes, servers int, test func(c *qt.C, s *fake.Site)) {
 	t.Helper()
 	synctestSite(t, nodes, servers, func(*fake.Site) {}, test)
