Keep a crashing request to three servers when its copies overlap

A trace of a failing run showed copies that reached an owner after word of the first crash: they were queued, waited out the second in which word spreads, and then ran alone at three owners at one instant. Reading on, three more ways to a fourth server: an entry VM went on to its second and third owner although the verdict had changed while it waited; an owner whose only server had crashed answered "no server", which widened the choice to a fourth owner; and a copy that runs for seconds could crash its server after the suspect had been let run again.

Change: owners refuse copies of a suspect that arrive in the spread time, under the queues' lock so that none slips in behind Recheck; the verdict is looked up again before each further owner, and a spare owner is asked only after 50 ms; copies that run elsewhere are stopped when word of a crash comes, and resume as suspects. The stand-in engine can now crash once a prompt is processed.

--- a/core/composer/crash_test.go
+++ b/core/composer/crash_test.go
@@ -79,6 +79,37 @@
 	}
 }
 
+// TestCrashingRequestThatTakesLong has copies of a request that crash their servers only after seconds, so that
+// others still run when word of the first crash has got round. The servers are slower than
+// declared, so that copies which wait in vain at one owner go on to the next.
+func TestCrashingRequestThatTakesLong(t *testing.T) {
+	for _, gap := range []time.Duration{0, 100 * time.Millisecond, 500 * time.Millisecond, 1200 * time.Millisecond} {
+		t.Run(gap.String(), func(t *testing.T) {
+			withSite(t, 6, 18, func(c *qt.C, s *fake.Site) {
+				for _, server := range s.Servers {
+					server.SetPrefill(1000)
+				}
+				stop := make(chan struct{})
+				go restartDead(s, stop)
+				var all sync.WaitGroup
+				for i := range 20 {
+					all.Go(func() {
+						s.CompleteInto(s.Context, &fake.Answer{}, i%6, prompt("<crash late>", 5000), 60, dragonflypass.RankNormal)
+					})
+					time.Sleep(gap)
+				}
+				all.Wait()
+				close(stop)
+				c.Check(deaths(s) <= crashLimit, qt.IsTrue, qt.Commentf("%d servers lost", deaths(s)))
+				time.Sleep(5 * time.Second)
+				for _, server := range s.Servers {
+					c.Check(server.Used(), qt.Equals, 0)
+				}
+			})
+		})
+	}
+}
+
 // TestRetryBudgetInAnOutage has all servers of one zone go; retries stay within their part of the requests.
 func TestRetryBudgetInAnOutage(t *testing.T) {
 	withSite(t, 3, 3, func(c *qt.C, s *fake.Site) {
--- a/core/dispatcher/acquire.go
+++ b/core/dispatcher/acquire.go
@@ -19,6 +19,8 @@
 	suspectChoices = 1
 	// spareChoices is the number of further owners for the case that a choice cannot serve at all.
 	spareChoices = 2
+	// spareDelay is the time before a further owner is asked, in which word of a crash gets round.
+	spareDelay = 50 * time.Millisecond
 	// patienceMin is the shortest time for which a request waits at one owner.
 	patienceMin = 250 * time.Millisecond
 	// serverWait is the time for which a request waits while no owner has a server for it, as after an owner's death.
@@ -49,16 +51,24 @@
 func (d *Dispatcher) acquireOnce(ctx context.Context, request *dragonflypass.PermitRequest) (dragonflypass.Permit, error) {
 	owners := d.Order(request)
 	var err error = dragonflypass.Refuse(dragonflypass.ReasonNoServer, time.Second, "no backend server that fits is up for model %q", request.Model)
-	choices := d.choices(request)
-	for i := 0; i < len(owners) && i < choices; i++ {
-		last := i+1 >= min(len(owners), choices)
+	spares := 0
+	for i := 0; i < len(owners); i++ {
+		// A copy of the request may have crashed a server while this one waited.
+		choices := d.choices(request)
+		if i >= choices+spares || (i >= choices && !waiter.Wait(ctx, d.Timer, spareDelay)) {
+			break
+		}
+		if i >= d.choices(request)+spares {
+			break
+		}
+		last := i+1 >= min(len(owners), choices+spares)
 		var permit dragonflypass.Permit
 		permit, err = d.askFor(ctx, owners[i], *request, last)
 		if err == nil || ctx.Err() != nil {
 			return permit, err
 		}
 		if cannotServe(err) {
-			choices++
+			spares++
 		}
 		request.Stream = d.nextStream()
 	}
--- a/core/scheduler/scheduler.go
+++ b/core/scheduler/scheduler.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"github.com/dragonflypass/dragonflypass"
@@ -128,13 +129,14 @@
 	if s.Leaving() {
 		return s.refuseLeaving()
 	}
-	if s.Guard.Check(request.Fingerprint) == quarantiner.Quarantined {
-		return refuseQuarantined()
-	}
 	s.serversLock.Lock()
 	defer s.serversLock.Unlock()
 	s.queuesLock.Lock()
 	defer s.queuesLock.Unlock()
+	// Under the queues' lock, so that Recheck after news of a crash finds what was let in before it.
+	if refusal := s.guarded(request, quarantiner.Waits); refusal != nil {
+		return refusal
+	}
 	if refusal := s.possible(request, now); refusal != nil {
 		return refusal
 	}
@@ -147,8 +149,17 @@
 	return nil
 }
 
-func refuseQuarantined() *dragonflypass.Refusal {
-	return dragonflypass.Refuse(dragonflypass.ReasonQuarantined, 0, "backend servers crashed while running this request")
+// guarded refuses a quarantined request, and a copy of a suspect with one of the verdicts: were copies
+// that the entry VMs sent before word of the crash reached them to wait here, they would run at several owners.
+func (s *Scheduler) guarded(request *dragonflypass.PermitRequest, verdicts ...quarantiner.Verdict) *dragonflypass.Refusal {
+	verdict := s.Guard.Check(request.Fingerprint)
+	switch {
+	case verdict == quarantiner.Quarantined:
+		return dragonflypass.Refuse(dragonflypass.ReasonQuarantined, 0, "backend servers crashed while running this request")
+	case request.Breaks == 0 && slices.Contains(verdicts, verdict):
+		return dragonflypass.Refuse(dragonflypass.ReasonBusy, retryMin, "a backend server crashed while running a copy of this request")
+	}
+	return nil
 }
 
 // possible tells whether any owned server could ever run the request; it is called with the servers locked.
@@ -330,22 +341,22 @@
 	s.dispatch()
 }
 
-// Recheck refuses waiting requests that no owned server can run any more.
+// Recheck refuses waiting requests that no owned server can run any more, and
+// stops copies of a request that crashed a server elsewhere.
 func (s *Scheduler) Recheck() {
+	s.stopCopies()
 	now := s.Timer.Now()
 	leaving := s.Leaving()
 	refusals := make(map[*dragonflypass.Waiting]*dragonflypass.Refusal)
 	s.serversLock.Lock()
 	s.queuesLock.Lock()
 	refused := s.Queue.Sift(func(w *dragonflypass.Waiting) bool {
-		refusal := s.possible(&w.Request, now)
-		switch {
-		case leaving:
+		refusal := s.guarded(&w.Request, quarantiner.Waits, quarantiner.Alone)
+		if leaving {
 			refusal = s.refuseLeaving()
-		case s.Guard.Check(w.Request.Fingerprint) == quarantiner.Quarantined:
-			refusal = refuseQuarantined()
-		case refusal == nil && w.Request.Breaks == 0 && s.Guard.Check(w.Request.Fingerprint) != quarantiner.Clear:
-			refusal = dragonflypass.Refuse(dragonflypass.ReasonBusy, retryMin, "a backend server crashed while running a copy of this request")
+		}
+		if refusal == nil {
+			refusal = s.possible(&w.Request, now)
 		}
 		refusals[w] = refusal
 		return refusal == nil
@@ -361,3 +372,24 @@
 func (s *Scheduler) refuseLeaving() *dragonflypass.Refusal {
 	return dragonflypass.Refuse(dragonflypass.ReasonLeaving, retryMin, "VM %s is leaving", s.Self)
 }
+
+// stopCopies ends the streams of requests that crashed a server elsewhere, before they crash theirs:
+// all of a quarantined request, and of a suspect those that began before it was one.
+// Their entry VMs resume them as suspects.
+func (s *Scheduler) stopCopies() {
+	var stops []dragonflypass.HeldStream
+	s.permitsLock.Lock()
+	for _, p := range s.permits {
+		if p.strange || p.orphan {
+			continue
+		}
+		verdict := s.Guard.Check(p.held.Fingerprint)
+		if verdict == quarantiner.Quarantined || (verdict != quarantiner.Clear && !p.suspect) {
+			stops = append(stops, p.held)
+		}
+	}
+	s.permitsLock.Unlock()
+	for _, held := range stops {
+		s.cancelLater(held.Server, held.Stream)
+	}
+}
--- a/standin/generator/engine.go
+++ b/standin/generator/engine.go
@@ -30,8 +30,10 @@
 	bytesPerToken = 4
 	// chunkTokens is the largest part of a prompt processed in one step, in tokens.
 	chunkTokens = 2048
-	// crashWord in a prompt makes the engine die.
+	// crashWord in a prompt makes the engine die when it is started.
 	crashWord = "<crash>"
+	// lateCrashWord in a prompt makes the engine die when the prompt has been processed.
+	lateCrashWord = "<crash late>"
 )
 
 // Engine is the state of one engine.
--- a/standin/generator/step.go
+++ b/standin/generator/step.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"strings"
 	"time"
 )
 
@@ -16,6 +17,10 @@
 	if s := e.firstUnfilled(); s != nil {
 		chunk := min(chunkTokens, s.prompt-s.filled)
 		s.filled += chunk
+		if s.filled >= s.prompt && strings.Contains(s.call.Prompt, lateCrashWord) {
+			e.die()
+			return 0
+		}
 		if s.call.Part && s.filled >= s.prompt {
 			s.notify()
 		}
