Serve the least served account first, ask other owners sooner, admit long prompts by their share

Lanes were ordered by their first request's target, so a large account's overdue requests went before a small account's fresh one; and a request left a busy owner only when its first token was due, which for 8k tokens is 12 s. Admitted requests that were late were long prompts let in as if they had a server to themselves.

Change: within a rank the least served account goes first, then its request closest to its target; a request waits 250 ms at one owner while there is another; long prompts come before bulk work in the engines' priority and, below their rank's floor, get three quarters of a server rather than half; a long prompt's latest start allows for three times its processing alone.

--- a/core/dispatcher/acquire.go
+++ b/core/dispatcher/acquire.go
@@ -21,14 +21,15 @@
 	spareChoices = 2
 	// spareDelay is the time before a further owner is asked, in which word of a crash gets round.
 	spareDelay = 50 * time.Millisecond
-	// patienceMin is the shortest time for which a request waits at one owner.
-	patienceMin = 250 * time.Millisecond
 	// serverWait is the time for which a request waits while no owner has a server for it, as after an owner's death.
 	serverWait = 5 * time.Second
 	// serverCheck is the time between two looks for such an owner.
 	serverCheck = 100 * time.Millisecond
 )
 
+// Patience is the time for which a request waits at one owner while there is another to ask.
+const Patience = 250 * time.Millisecond
+
 // acquire gets a permit from one of the owners, looking for others a while when none of them can serve.
 func (d *Dispatcher) acquire(ctx context.Context, j *job) (dragonflypass.Permit, error) {
 	request := d.permitRequest(j)
@@ -75,25 +76,16 @@
 	return dragonflypass.Permit{}, err
 }
 
-// askFor waits for a permit of one owner, until the first token is due where there is another owner to ask.
+// askFor waits for a permit of one owner, with Patience where there is another owner to ask.
 func (d *Dispatcher) askFor(ctx context.Context, owner dragonflypass.VM, request dragonflypass.PermitRequest, last bool) (dragonflypass.Permit, error) {
 	if last || dragonflypass.ClassOf(request.PromptTokens) >= dragonflypass.ClassLong {
 		return d.ask(ctx, owner, request)
 	}
-	limited, cancel := d.Timer.WithDeadline(ctx, Patience(d.Timer.Now(), &request))
+	limited, cancel := d.Timer.WithDeadline(ctx, d.Timer.Now().Add(Patience))
 	defer cancel()
 	return d.ask(limited, owner, request)
 }
 
-// Patience is the instant up to which a request waits at one owner while there is another:
-// that at which its first token is due, but not less than patienceMin from now.
-func Patience(now time.Time, request *dragonflypass.PermitRequest) time.Time {
-	if least := now.Add(patienceMin); request.Target.Before(least) {
-		return least
-	}
-	return request.Target
-}
-
 // cannotServe reports whether an owner was no choice at all, as opposed to a busy one.
 func cannotServe(err error) bool {
 	refusal, ok := dragonflypass.AsRefusal(err)
--- a/core/dispatcher/prepare.go
+++ b/core/dispatcher/prepare.go
@@ -12,6 +12,8 @@
 	defaultOutput = 1024
 	// windowMargin is the time kept between the end of a request and the VM's own window.
 	windowMargin = time.Second
+	// longSlack multiplies the processing time of a long prompt, which has a part of its server beside short ones.
+	longSlack = 3
 	// startSlack multiplies the predicted run of a request before its deadline, and startMargin is added to it:
 	// the time after which an owner knows that a server is behind.
 	startSlack  = 1.15
@@ -136,7 +138,11 @@
 // LatestStart is the instant at which a prompt and answer of the given tokens must start to end by the deadline,
 // at the given rates in tokens a second and with slack for the other work of the server.
 func LatestStart(deadline time.Time, prompt, output int, prefill, decode float64) time.Time {
-	run := seconds(float64(prompt)/prefill + float64(output)/decode)
+	slack := 1.0
+	if dragonflypass.ClassOf(prompt) >= dragonflypass.ClassLong {
+		slack = longSlack
+	}
+	run := seconds(slack*float64(prompt)/prefill + float64(output)/decode)
 	return deadline.Add(-startMargin - time.Duration(startSlack*float64(run)))
 }
 
--- a/core/ranker/lane.go
+++ b/core/ranker/lane.go
@@ -105,6 +105,12 @@
 	return nil, tried
 }
 
+// least is the counter of the account with the least service in the lane.
+func (l *lane) least() float64 {
+	l.settle()
+	return l.lines[0].key
+}
+
 // target is the instant at which the lane's first request is due its first token.
 func (l *lane) target() time.Time {
 	l.settle()
--- a/core/ranker/ranker.go
+++ b/core/ranker/ranker.go
@@ -197,8 +197,8 @@
 }
 
 // Next takes out and returns the first request that fit accepts: ranks below
-// their floor first, then the more urgent, within a rank by least slack over
-// lanes, within a lane the account with the least service.
+// their floor first, then the more urgent, within a rank the account with the
+// least service, and of an account the request that is closest to its target.
 func (q *Queue) Next(now time.Time, fit func(*dragonflypass.Waiting) bool) *dragonflypass.Waiting {
 	for _, rank := range q.rankOrder() {
 		lifted := q.lack(rank) > 0
@@ -206,7 +206,7 @@
 			w.Lifted = lifted
 			return fit(w)
 		}
-		for _, l := range q.lanesBySlack(rank) {
+		for _, l := range q.lanesByService(rank) {
 			if e := l.first(offer); e != nil {
 				q.remove(e)
 				q.ranks[rank].virtual = math.Max(q.ranks[rank].virtual, e.account.counter)
@@ -241,8 +241,9 @@
 	return order
 }
 
-// lanesBySlack returns the rank's lanes, the one whose first request is closest to its target first.
-func (q *Queue) lanesBySlack(rank dragonflypass.Rank) []*lane {
+// lanesByService returns the rank's lanes, the one with the least served account first, of
+// several the one whose first request is closest to its target.
+func (q *Queue) lanesByService(rank dragonflypass.Rank) []*lane {
 	var lanes []*lane
 	for key, l := range q.lanes {
 		if key.rank == rank {
@@ -250,6 +251,9 @@
 		}
 	}
 	slices.SortFunc(lanes, func(a, b *lane) int {
+		if order := cmp.Compare(a.least(), b.least()); order != 0 {
+			return order
+		}
 		if order := a.target().Compare(b.target()); order != 0 {
 			return order
 		}
--- a/core/ranker/ranker_test.go
+++ b/core/ranker/ranker_test.go
@@ -169,3 +169,19 @@
 		}
 	})
 }
+
+// TestLargeAccountDoesNotGoFirst has a large account's overdue short requests before a small account's longer one.
+func TestLargeAccountDoesNotGoFirst(t *testing.T) {
+	c := qt.New(t)
+	q := New(policies)
+	for range 100 {
+		overdue := request("large", dragonflypass.RankNormal, 1000)
+		overdue.Request.Target = start.Add(-time.Second)
+		q.Push(overdue, start)
+	}
+	serve(q, 10, func(*dragonflypass.Waiting) string { return "" })
+	small := request("small", dragonflypass.RankNormal, 8000)
+	small.Request.Target = start.Add(time.Minute)
+	q.Push(small, start)
+	c.Check(q.Next(start, everything), qt.Equals, small)
+}
--- a/core/scheduler/server.go
+++ b/core/scheduler/server.go
@@ -21,7 +21,7 @@
 	// longShare is the part of a server's prompt processing left to a long prompt beside short ones.
 	longShare = 0.25
 	// floorShare is that part while the long prompt's rank is below its floor.
-	floorShare = 0.5
+	floorShare = 0.75
 	// lateTime is the time after which a prompt that is not processed when predicted shows that its server is behind.
 	lateTime = 300 * time.Millisecond
 	// rateHalfLife is the time in which prompt tokens once granted count half in the observed rate.
@@ -161,10 +161,10 @@
 const levelCount = dragonflypass.RankCount * dragonflypass.ClassCount
 
 // levelOf is the request's level: by rank, then by length; one lifted to keep its rank's floor counts as urgent.
-// Long prompts come after all others, which leave them longShare of the server.
+// Long prompts come after all others but those of the least urgent rank, which leave them longShare of the server.
 func levelOf(w *dragonflypass.Waiting) int {
 	if isLong(w.Request.PromptTokens) {
-		return levelCount - dragonflypass.RankCount + int(w.Request.Rank)
+		return longLevel(w.Request.Rank)
 	}
 	rank := w.Request.Rank
 	if w.Lifted {
@@ -173,8 +173,21 @@
 	return levelAt(rank, dragonflypass.ClassOf(w.Request.PromptTokens))
 }
 
+// firstBulk is the level of the shortest prompts of the least urgent rank.
+const firstBulk = int(dragonflypass.RankBulk)*int(dragonflypass.ClassLong) + int(dragonflypass.RankBulk)
+
+func longLevel(rank dragonflypass.Rank) int {
+	if rank == dragonflypass.RankBulk {
+		return levelCount - 1
+	}
+	return firstBulk - int(dragonflypass.RankBulk) + int(rank)
+}
+
 // levelAt is the level of prompts of the rank and of a class that is not long.
 func levelAt(rank dragonflypass.Rank, class dragonflypass.LengthClass) int {
+	if rank == dragonflypass.RankBulk {
+		return firstBulk + int(class)
+	}
 	return int(rank)*int(dragonflypass.ClassLong) + int(class)
 }
 
@@ -197,6 +210,9 @@
 	if isLong(request.PromptTokens) {
 		s.long, s.hasLong, s.longRank = request.Stream, true, request.Rank
 		s.longFree = now.Add(time.Duration(float64(span) / longShare))
+		for level := longLevel(request.Rank); level < levelCount-1; level++ {
+			s.levels[level] = later(s.levels[level], now).Add(span)
+		}
 		return
 	}
 	if s.hasLong {
--- /dev/null
+++ b/experiment/evaluator/evaluator_test.go
@@ -0,0 +1,35 @@
+package evaluator
+
+import (
+	"fmt"
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/dragonflypass/dragonflypass/experiment/modeler"
+)
+
+// TestNoAdmittedRequestIsLate floods a site with urgent work on top of its steady load: what is
+// admitted still ends within its rank's time.
+func TestNoAdmittedRequestIsLate(t *testing.T) {
+	if testing.Short() {
+		t.Skip("takes a while under the race detector; make test runs it without")
+	}
+	for _, site := range []modeler.Site{Copenhagen(), BinhMinh()} {
+		for seed := uint64(1); seed <= 3; seed++ {
+			t.Run(fmt.Sprintf("%s/%d", site.Name, seed), func(t *testing.T) {
+				t.Parallel()
+				c := qt.New(t)
+				for _, scenario := range Scenarios() {
+					if scenario.Name != "flood of urgent" {
+						continue
+					}
+					outcome := Run(site, Policies(seed)[0], scenario, seed)
+					counts := count(outcome.Results, func(*modeler.Result) bool { return true })
+					c.Check(counts.Missed, qt.Equals, 0)
+					c.Check(counts.Done > 5000, qt.IsTrue, qt.Commentf("%d done", counts.Done))
+				}
+			})
+		}
+	}
+}
--- a/experiment/modeler/job.go
+++ b/experiment/modeler/job.go
@@ -117,7 +117,7 @@
 	if m.policy.Owner != nil || try+1 >= min(ownerTries, len(owners)) || dragonflypass.ClassOf(request.PromptTokens) >= dragonflypass.ClassLong {
 		return
 	}
-	m.Clock.At(dragonflypass.JobSweep, dispatcher.Patience(m.Clock.Now(), &request), func(context.Context) {
+	m.Clock.At(dragonflypass.JobSweep, m.Clock.Now().Add(dispatcher.Patience), func(context.Context) {
 		if j.waiting == waiting && owner.Scheduler.Withdraw(waiting) {
 			m.sequence++
 			request.Stream.Sequence = m.sequence
