--- a/Makefile
+++ b/Makefile
@@ -8,7 +8,7 @@
 
 test:
 	go test -race -short -count=1 -timeout 170s work
-	go test -count=1 -timeout 100s -run 'TestInForceOnManyNodes|TestRandomSchedules|TestNoAdmittedRequestIsLate' ./core/composer ./core/claimer ./experiment/evaluator
+	go test -count=1 -timeout 100s -run 'TestInForceOnManyNodes|TestRandomSchedules|TestNoAdmittedRequestIsLate|TestTwoFaultsTogether' ./core/composer ./core/claimer ./experiment/evaluator
 
 lint:
 	@test -z "$$(gofmt -l .)" || { gofmt -l .; echo "gofmt: run make fmt"; exit 1; }
--- /dev/null
+++ b/cmd/dragonflybench/plotter/doc.go
@@ -0,0 +1,2 @@
+// Package plotter draws the figures of the policy experiment as SVG files.
+package plotter
--- a/cmd/dragonflybench/policy.go
+++ b/cmd/dragonflybench/policy.go
@@ -5,20 +5,28 @@
 
 	"github.com/spf13/cobra"
 
+	"github.com/dragonflypass/dragonflypass/cmd/dragonflybench/plotter"
 	"github.com/dragonflypass/dragonflypass/experiment/evaluator"
 )
 
 func newPolicyCommand() *cobra.Command {
 	var seed uint64
 	var baselines bool
+	var plots string
 	command := &cobra.Command{
 		Use:     "policy",
 		Short:   "Measure the policies in virtual time and hold them against the targets",
 		Example: "  dragonflybench policy --seed 1",
 		Args:    cobra.NoArgs,
 		RunE: func(command *cobra.Command, _ []string) error {
+			checks, figures := evaluator.Evaluate(command.OutOrStdout(), seed, baselines)
+			if plots != "" {
+				if err := plotter.Write(plots, figures); err != nil {
+					return err
+				}
+			}
 			short := 0
-			for _, check := range evaluator.Evaluate(command.OutOrStdout(), seed, baselines) {
+			for _, check := range checks {
 				if !check.Holds {
 					short++
 				}
@@ -30,6 +38,7 @@
 		},
 	}
 	command.Flags().Uint64Var(&seed, "seed", 1, "seed of the traces")
+	command.Flags().StringVar(&plots, "plots", "", "folder for plots of the figures as SVG, none by default")
 	command.Flags().BoolVar(&baselines, "baselines", true, "run the baselines too")
 	return command
 }
--- a/core/dispatcher/acquire.go
+++ b/core/dispatcher/acquire.go
@@ -54,16 +54,11 @@
 	owners := d.Order(request)
 	var err error = dragonflypass.Refuse(dragonflypass.ReasonNoServer, time.Second, "no backend server that fits is up for model %q", request.Model)
 	spares := 0
-	for i := 0; i < len(owners); i++ {
-		// A copy of the request may have crashed a server while this one waited.
-		choices := d.choices(request)
-		if i >= choices+spares || (i >= choices && !waiter.Wait(ctx, d.Timer, spareDelay)) {
+	for i := range owners {
+		if !d.mayAsk(ctx, request, i, spares) {
 			break
 		}
-		if i >= d.choices(request)+spares {
-			break
-		}
-		last := i+1 >= min(len(owners), choices+spares)
+		last := i+1 >= min(len(owners), d.choices(request)+spares)
 		var permit dragonflypass.Permit
 		permit, err = d.askFor(ctx, owners[i], *request, last)
 		if err == nil || ctx.Err() != nil {
@@ -77,6 +72,19 @@
 	return dragonflypass.Permit{}, err
 }
 
+// mayAsk reports whether the owner with the index may be asked, a spare one after spareDelay.
+// The choices are counted anew each time: a copy of the request may have crashed a server while this one waited.
+func (d *Dispatcher) mayAsk(ctx context.Context, request *dragonflypass.PermitRequest, index, spares int) bool {
+	choices := d.choices(request)
+	if index < choices {
+		return true
+	}
+	if index >= choices+spares || !waiter.Wait(ctx, d.Timer, spareDelay) {
+		return false
+	}
+	return index < d.choices(request)+spares
+}
+
 // askFor waits for a permit of one owner, with Patience where there is another owner to ask.
 func (d *Dispatcher) askFor(ctx context.Context, owner dragonflypass.VM, request dragonflypass.PermitRequest, last bool) (dragonflypass.Permit, error) {
 	if last || dragonflypass.ClassOf(request.PromptTokens) >= dragonflypass.ClassLong {
--- a/experiment/evaluator/evaluator.go
+++ b/experiment/evaluator/evaluator.go
@@ -29,6 +29,17 @@
 	Holds  bool
 }
 
+// Figure sums up one scenario under one policy.
+type Figure struct {
+	Site     string
+	Scenario string
+	Policy   string
+	// First is the time to the first token of each length class.
+	First [dragonflypass.ClassCount]Spread
+	// Parts are the ranks' parts of the service in the time of the fault.
+	Parts [dragonflypass.RankCount]float64
+}
+
 // run is one scenario's results under one policy.
 type run struct {
 	policy   string
@@ -36,19 +47,31 @@
 	modeler.Outcome
 }
 
-// Evaluate runs every scenario under every policy, prints the tables and returns the checks of the first policy.
-// Without baselines only the project's own policy is run.
-func Evaluate(out io.Writer, seed uint64, baselines bool) []Check {
+// Evaluate runs every scenario under every policy, prints the tables and returns the checks of the first policy
+// and the figures of all. Without baselines only the project's own policy is run.
+func Evaluate(out io.Writer, seed uint64, baselines bool) ([]Check, []Figure) {
 	var checks []Check
+	var figures []Figure
 	for _, site := range []modeler.Site{Copenhagen(), BinhMinh()} {
 		runs := runAll(site, seed, baselines)
 		fmt.Fprintf(out, "\n%s: %d backend servers, capacity %.0f prompt tokens a second, seed %d\n", site.Name, site.Servers, site.Capacity(), seed)
 		printFirst(out, runs)
 		printRanks(out, site, runs)
 		checks = append(checks, check(site, runs)...)
+		for _, r := range runs {
+			figures = append(figures, figure(site, r))
+		}
 	}
 	printChecks(out, checks)
-	return checks
+	return checks, figures
+}
+
+func figure(site modeler.Site, r run) Figure {
+	f := Figure{Site: site.Name, Scenario: r.scenario, Policy: r.policy, Parts: served(r.Outcome, faultAt, faultEnd)}
+	for class := range dragonflypass.LengthClass(dragonflypass.ClassCount) {
+		f.First[class] = spread(r.Results, ofClass(class))
+	}
+	return f
 }
 
 // runAll runs the scenarios side by side; each is deterministic by itself.
