--- a/core/scheduler/scheduler.go
+++ b/core/scheduler/scheduler.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"slices"
 	"time"
 
 	"github.com/dragonflypass/dragonflypass"
@@ -149,19 +148,6 @@
 	return nil
 }
 
-// guarded refuses a quarantined request, and a copy of a suspect with one of the verdicts: were copies
-// that the entry VMs sent before word of the crash reached them to wait here, they would run at several owners.
-func (s *Scheduler) guarded(request *dragonflypass.PermitRequest, verdicts ...quarantiner.Verdict) *dragonflypass.Refusal {
-	verdict := s.Guard.Check(request.Fingerprint)
-	switch {
-	case verdict == quarantiner.Quarantined:
-		return dragonflypass.Refuse(dragonflypass.ReasonQuarantined, 0, "backend servers crashed while running this request")
-	case request.Breaks == 0 && slices.Contains(verdicts, verdict):
-		return dragonflypass.Refuse(dragonflypass.ReasonBusy, retryMin, "a backend server crashed while running a copy of this request")
-	}
-	return nil
-}
-
 // possible tells whether any owned server could ever run the request; it is called with the servers locked.
 func (s *Scheduler) possible(request *dragonflypass.PermitRequest, now time.Time) *dragonflypass.Refusal {
 	serving, fitting := false, false
@@ -278,30 +264,6 @@
 	return nil
 }
 
-// cleared reports whether the request is a suspect and whether it may run now; it is called with the permits locked.
-func (s *Scheduler) cleared(request *dragonflypass.PermitRequest) (suspect, may bool) {
-	verdict := s.Guard.Check(request.Fingerprint)
-	suspect = verdict != quarantiner.Clear || request.Breaks > 0
-	switch {
-	case verdict == quarantiner.Quarantined, verdict == quarantiner.Waits:
-		return suspect, false
-	case suspect || !s.Guard.Proven(request.Fingerprint):
-		return suspect, !s.copied(request)
-	}
-	return false, true
-}
-
-// copied reports whether another request with the fingerprint runs at an owned server; it is called with the permits locked.
-func (s *Scheduler) copied(request *dragonflypass.PermitRequest) bool {
-	for _, p := range s.prints[request.Fingerprint] {
-		sameGroup := request.Group != 0 && p.group == request.Group && p.held.Stream.VM == request.Stream.VM
-		if !sameGroup {
-			return true
-		}
-	}
-	return false
-}
-
 // wakeLater has dispatch run again when the next server's prompt processing has room; it is called with the tables locked.
 func (s *Scheduler) wakeLater(now time.Time) {
 	if s.Queue.Len() == 0 {
@@ -372,24 +334,3 @@
 func (s *Scheduler) refuseLeaving() *dragonflypass.Refusal {
 	return dragonflypass.Refuse(dragonflypass.ReasonLeaving, retryMin, "VM %s is leaving", s.Self)
 }
-
-// stopCopies ends the streams of requests that crashed a server elsewhere, before they crash theirs:
-// all of a quarantined request, and of a suspect those that began before it was one.
-// Their entry VMs resume them as suspects.
-func (s *Scheduler) stopCopies() {
-	var stops []dragonflypass.HeldStream
-	s.permitsLock.Lock()
-	for _, p := range s.permits {
-		if p.strange || p.orphan {
-			continue
-		}
-		verdict := s.Guard.Check(p.held.Fingerprint)
-		if verdict == quarantiner.Quarantined || (verdict != quarantiner.Clear && !p.suspect) {
-			stops = append(stops, p.held)
-		}
-	}
-	s.permitsLock.Unlock()
-	for _, held := range stops {
-		s.cancelLater(held.Server, held.Stream)
-	}
-}
--- a/experiment/evaluator/evaluator.go
+++ b/experiment/evaluator/evaluator.go
@@ -80,8 +80,22 @@
 	if !baselines {
 		policies = policies[:1]
 	}
+	return runEach(site, seed, policies, Scenarios())
+}
+
+// Contrast runs the scenarios of dying servers under the contrasting policies and prints their tables.
+func Contrast(out io.Writer, seed uint64) {
+	for _, site := range []modeler.Site{Copenhagen(), BinhMinh()} {
+		fmt.Fprintf(out, "\n%s: %d backend servers, seed %d\n", site.Name, site.Servers, seed)
+		runs := runEach(site, seed, Contrasts(seed), deaths())
+		printFirst(out, runs)
+		printRanks(out, site, runs)
+	}
+}
+
+func runEach(site modeler.Site, seed uint64, policies []modeler.Policy, scenarios []Scenario) []run {
 	var runs []run
-	for _, scenario := range Scenarios() {
+	for _, scenario := range scenarios {
 		for _, policy := range policies {
 			runs = append(runs, run{policy: policy.Name, scenario: scenario.Name})
 		}
@@ -89,7 +103,7 @@
 	var running sync.WaitGroup
 	slots := make(chan struct{}, 6)
 	i := 0
-	for _, scenario := range Scenarios() {
+	for _, scenario := range scenarios {
 		for _, policy := range policies {
 			at := i
 			i++
--- a/experiment/evaluator/scenario.go
+++ b/experiment/evaluator/scenario.go
@@ -180,3 +180,22 @@
 	}
 	return modeler.Run(site, policy, trace, runTime+drainTime, scenario.Events...)
 }
+
+// Contrasts returns the project's policy and MAHEVE's two ideas on top of it: a reserve in each
+// zone with replacement within the zone first, and zones ranked by equation 1.
+func Contrasts(seed uint64) []modeler.Policy {
+	plain := Policies(seed)[0]
+	reserve, zones := plain, plain
+	reserve.Name, reserve.Reserve = "reserve in each zone", true
+	zones.Name, zones.Zones = "zones ranked", true
+	return []modeler.Policy{plain, reserve, zones}
+}
+
+// deaths are the scenarios for the contrasts.
+func deaths() []Scenario {
+	const every, down = 15 * time.Second, 20 * time.Second
+	return []Scenario{
+		{Name: "steady", Loads: steadyLoad},
+		{Name: "servers die", Loads: steadyLoad, Events: []modeler.Event{{At: faultAt, Run: modeler.Deaths(every, down, faultEnd-faultAt)}}},
+	}
+}
--- a/experiment/modeler/engine.go
+++ b/experiment/modeler/engine.go
@@ -19,6 +19,8 @@
 	epoch    uint64
 	down     bool
 	running  bool
+	// reserved is set while the server is held back and not used.
+	reserved bool
 	streams  []*stream
 	reports  []dragonflypass.ServerReport
 	// serve counts tokens processed or generated for a rank.
--- a/experiment/modeler/event.go
+++ b/experiment/modeler/event.go
@@ -7,13 +7,24 @@
 	"github.com/dragonflypass/dragonflypass"
 )
 
-func (m *Model) kill(e *engine) {
+func (m *Model) kill(e *engine, down time.Duration) {
 	if e.down {
 		return
 	}
 	e.die()
+	m.replace(e)
 	m.report()
-	m.Clock.After(downTime, e.revive)
+	m.Clock.After(down, e.revive)
+}
+
+// Deaths has the servers die one after the other, each staying down for a while.
+func Deaths(every, down, until time.Duration) func(*Model) {
+	return func(m *Model) {
+		for i := 0; time.Duration(i)*every < until; i++ {
+			e := m.engines[m.serverID(i%m.Site.Servers)]
+			m.Clock.After(time.Duration(i)*every, func() { m.kill(e, down) })
+		}
+	}
 }
 
 // LoseZone takes the servers and nodes of a zone away.
@@ -23,7 +34,7 @@
 			n.down = n.down || n.vm.Zone == zone
 		}
 		for i := range m.Site.Servers {
-			if e := m.engines[dragonflypass.ServerID(fmt.Sprintf("server-%02d", i))]; e.declared.Zone == zone {
+			if e := m.engines[m.serverID(i)]; e.declared.Zone == zone {
 				e.die()
 			}
 		}
--- a/experiment/modeler/job.go
+++ b/experiment/modeler/job.go
@@ -70,6 +70,9 @@
 		for _, vm := range j.entry.Dispatcher.Order(request) {
 			order = append(order, byID[vm.ID])
 		}
+		if m.policy.Zones {
+			m.sortByZone(order)
+		}
 		return order
 	}
 	var candidates []dragonflypass.Candidate
@@ -156,7 +159,7 @@
 		broken: func() { m.broke(j, owner, p) },
 	}
 	if j.Crashes {
-		m.Clock.After(50*time.Millisecond, func() { m.kill(e) })
+		m.Clock.After(50*time.Millisecond, func() { m.kill(e, downTime) })
 	}
 	e.start(j.stream)
 }
--- a/experiment/modeler/modeler.go
+++ b/experiment/modeler/modeler.go
@@ -36,6 +36,10 @@
 	Server func() dragonflypass.Placement
 	// Owner places among owners, nil for the dispatcher's own order.
 	Owner func() dragonflypass.Placement
+	// Reserve holds one server of each zone back until another of the zone is down.
+	Reserve bool
+	// Zones orders owners by the mark of their zone before the dispatcher's own order.
+	Zones bool
 }
 
 // Site is what the requests run on.
@@ -158,7 +162,7 @@
 	}
 	add(dragonflypass.SectionModel, string(model), dragonflypass.Item{Model: &dragonflypass.Model{ID: model, Limit: m.Site.Memory}})
 	for i := range m.Site.Servers {
-		id := dragonflypass.ServerID(fmt.Sprintf("server-%02d", i))
+		id := m.serverID(i)
 		add(dragonflypass.SectionServer, string(id), dragonflypass.Item{Server: &dragonflypass.BackendServer{
 			ID: id, Zone: m.zone(i), Address: netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, 0, 1, byte(i)}), 1),
 			Models: []dragonflypass.ModelID{model}, Memory: m.Site.Memory, Slots: m.Site.Slots, Prefill: m.Site.Prefill, Decode: m.Site.Decode,
@@ -193,6 +197,7 @@
 		n.Dispatcher.Current, n.Dispatcher.Owners = current, n
 		m.nodes = append(m.nodes, n)
 	}
+	m.hold()
 	m.assign()
 	m.Clock.Every(dragonflypass.JobReport, reportEvery, func(context.Context) { m.report() })
 	m.Clock.Every(dragonflypass.JobHeartbeat, heartbeat, func(context.Context) { m.exchange() })
@@ -232,7 +237,7 @@
 
 func (m *Model) report() {
 	for i := range m.Site.Servers {
-		e := m.engines[dragonflypass.ServerID(fmt.Sprintf("server-%02d", i))]
+		e := m.engines[m.serverID(i)]
 		n := m.owner(e.declared.ID)
 		if e.down {
 			if crash, news := n.Scheduler.Unreachable(e.declared.ID, true); news {
@@ -240,6 +245,9 @@
 			}
 			continue
 		}
+		if e.reserved {
+			continue
+		}
 		report := e.report(reportLag)
 		if crash, news := n.Scheduler.Restarted(report); news {
 			m.spread(n, crash)
