Give both of two racing changes the time that each has

TestOperatorsOnDifferentItems failed in 2 of 8 runs side by side under the race detector. It waited until one change was in force everywhere and then expected the other on the third node at that very instant, although that is a later entry of the log. The test now holds both changes on every node to the five seconds, which is more than it checked before.

--- a/core/composer/config_test.go
+++ b/core/composer/config_test.go
@@ -87,10 +87,19 @@
 func TestOperatorsOnDifferentItems(t *testing.T) {
 	withSite(t, 3, 1, func(c *qt.C, s *fake.Site) {
 		a, b := raceEdits(s, modelEdit(s.Base(0, modelKey), "a"), rankEdit("bulk", 0.3))
+		accepted := time.Now()
 		c.Check(a.Accepted, qt.IsTrue)
 		c.Check(b.Accepted, qt.IsTrue)
 		awaitForce(c, s, "a", 5*time.Second, all(s)...)
-		c.Check(s.Nodes[2].Configurer.Current().Ranks[dragonflypass.RankBulk].Floor, qt.Equals, 0.3)
+		// The other change is an entry of its own, so that a node may read it later, but within the same time.
+		floor := func(node int) float64 { return s.Nodes[node].Configurer.Current().Ranks[dragonflypass.RankBulk].Floor }
+		for node := range s.Nodes {
+			for floor(node) != 0.3 && time.Since(accepted) < 5*time.Second {
+				time.Sleep(50 * time.Millisecond)
+			}
+			c.Check(floor(node), qt.Equals, 0.3)
+			c.Check(version(s, node), qt.Equals, "a")
+		}
 	})
 }
 
