--- a/examples/site/faults.sh
+++ b/examples/site/faults.sh
@@ -8,6 +8,7 @@
 here=$(dirname "$0")
 export SITE_PORT="${SITE_PORT:-20000}"
 port=$SITE_PORT
+mkdir -p "$(dirname "$folder")"
 "$here/run.sh" start "$folder" >"$folder.start.log"
 trap '"$here/run.sh" stop "$folder"' EXIT
 failed=0
