Cut the connection only once the question is on it

The goroutine that asks for a permit had not asked yet when the test cut the connection; its question then took a new connection, on which the answerer holds it for good, as it should. The test now waits for the question. Nothing in the messenger changed.

--- a/adapter/messenger/messenger_test.go
+++ b/adapter/messenger/messenger_test.go
@@ -31,6 +31,7 @@
 	mutex     sync.Mutex
 	outcome   error
 	hold      bool
+	asked     chan dragonflypass.StreamID
 	withdrawn chan dragonflypass.StreamID
 	released  chan dragonflypass.PermitRelease
 	crashes   chan dragonflypass.Crash
@@ -39,6 +40,7 @@
 
 func newAnswerer() *answerer {
 	return &answerer{
+		asked:     make(chan dragonflypass.StreamID, 10),
 		withdrawn: make(chan dragonflypass.StreamID, 10), released: make(chan dragonflypass.PermitRelease, 10),
 		crashes: make(chan dragonflypass.Crash, 10), heard: make(chan dragonflypass.Heartbeat, 10),
 	}
@@ -47,6 +49,7 @@
 func (a *answerer) Acquire(request dragonflypass.PermitRequest, told func(dragonflypass.Permit, error)) func() {
 	a.mutex.Lock()
 	defer a.mutex.Unlock()
+	a.asked <- request.Stream
 	if !a.hold {
 		told(permit(request), a.outcome)
 	}
@@ -145,6 +148,8 @@
 	}()
 	_, err := client.Exchange(t.Context(), vm, dragonflypass.Heartbeat{From: vm})
 	c.Assert(err, qt.IsNil)
+	// A question that is sent only after the cut takes a new connection, which does not break.
+	c.Check(<-a.asked, qt.Equals, request().Stream)
 	client.Cut(vm.Peer)
 	c.Check(<-failed, qt.ErrorIs, dragonflypass.ErrUncertain)
 	c.Check(<-a.withdrawn, qt.Equals, request().Stream)
