--- /dev/null
+++ b/adapter/assembler/relay.go
@@ -0,0 +1,207 @@
+package assembler
+
+import (
+	"context"
+	"io"
+	stdlog "log"
+	"net"
+	"net/http"
+	"net/netip"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/rotisserie/eris"
+	"go.uber.org/fx"
+
+	"github.com/dragonflypass/dragonflypass"
+	"github.com/dragonflypass/dragonflypass/adapter/counter"
+	"github.com/dragonflypass/dragonflypass/adapter/dialer"
+	"github.com/dragonflypass/dragonflypass/adapter/loader"
+	"github.com/dragonflypass/dragonflypass/adapter/timer"
+	"github.com/dragonflypass/dragonflypass/core/composer"
+	"github.com/dragonflypass/dragonflypass/core/worker"
+	"github.com/dragonflypass/dragonflypass/platform"
+)
+
+const (
+	// callerSilence is the time after which data that a caller does not acknowledge ends its connection.
+	callerSilence = 5 * time.Second
+	// callerHeader is the largest request head in bytes; the operators' limit lies below.
+	callerHeader = 32 << 10
+	// leaveTime is the time after SIGTERM in which the balancer notices that the VM is not ready: it asks
+	// each second and needs two answers.
+	leaveTime = 2500 * time.Millisecond
+	// graceMargin is the part of the time before SIGKILL kept for closing.
+	graceMargin = 500 * time.Millisecond
+	// idlePoll is the time between two looks at the requests in progress.
+	idlePoll = 50 * time.Millisecond
+)
+
+// RelayModule provides the process of an entry VM that relays exchanges on the platform.
+func RelayModule(settings *loader.RelaySettings, output io.Writer) fx.Option {
+	return fx.Options(
+		fx.NopLogger,
+		fx.Supply(settings),
+		fx.Provide(
+			func() (dragonflypass.Logger, error) {
+				return newLogger(&loader.Settings{Name: settings.Name, Log: loader.Log{Level: settings.Log.Level, Format: "json"}}, output)
+			},
+			fx.Annotate(counter.New, fx.As(fx.Self()), fx.As(new(dragonflypass.Meter))),
+			fx.Annotate(newRelayPool, fx.As(fx.Self()), fx.As(new(dragonflypass.Pool))),
+			fx.Annotate(timer.New, fx.As(fx.Self()), fx.As(new(dragonflypass.Timer))),
+			fx.Annotate(newStore, fx.As(fx.Self()), fx.As(new(dragonflypass.Store))),
+			fx.Annotate(newServers, fx.As(fx.Self()), fx.As(new(dragonflypass.Backend))),
+			newRelay, newRelayNode,
+		),
+	)
+}
+
+func newRelayPool(settings *loader.RelaySettings, meter dragonflypass.Meter) *worker.Pool {
+	return &worker.Pool{Workers: settings.Workers, Room: poolRoom, Meter: meter}
+}
+
+func newStore(settings *loader.RelaySettings, meter dragonflypass.Meter) *platform.Store {
+	s := platform.NewStore(settings.Store.Address)
+	s.Meter = meter
+	return s
+}
+
+func newServers(meter dragonflypass.Meter) *platform.Servers {
+	s := platform.NewServers()
+	s.Meter = meter
+	return s
+}
+
+type relayPorts struct {
+	fx.In
+
+	Timer   dragonflypass.Timer
+	Pool    dragonflypass.Pool
+	Store   dragonflypass.Store
+	Backend dragonflypass.Backend
+	Meter   dragonflypass.Meter
+	Logger  dragonflypass.Logger
+}
+
+// newRelay composes the decisions; the incarnation is the instant of the start, which rises with each.
+func newRelay(settings *loader.RelaySettings, ports relayPorts) *composer.Relay {
+	return composer.ComposeRelay(composer.RelayOptions{
+		Self: settings.VM(), Incarnation: uint64(time.Now().UnixNano()),
+		Revoke: time.Duration(settings.Times.Revoke), Apply: time.Duration(settings.Times.Apply),
+	}, composer.RelayPorts{
+		Timer: ports.Timer, Pool: ports.Pool, Store: ports.Store, Backend: ports.Backend, Meter: ports.Meter, Logger: ports.Logger,
+	})
+}
+
+// RelayNode is the assembled process of one entry VM that relays exchanges.
+type RelayNode struct {
+	Settings *loader.RelaySettings
+	Core     *composer.Relay
+	Metrics  *counter.Counter
+
+	parts   relayParts
+	callers *platform.Callers
+	leaving atomic.Bool
+	cancel  context.CancelFunc
+	running sync.WaitGroup
+	servers []*http.Server
+}
+
+// relayParts are the adapters that run or are closed.
+type relayParts struct {
+	fx.In
+
+	Pool    *worker.Pool
+	Timer   *timer.Service
+	Store   *platform.Store
+	Servers *platform.Servers
+	Logger  dragonflypass.Logger
+}
+
+// newRelayNode ties the parts to the process's start and stop.
+func newRelayNode(lifecycle fx.Lifecycle, settings *loader.RelaySettings, core *composer.Relay, metrics *counter.Counter, parts relayParts) *RelayNode {
+	n := &RelayNode{Settings: settings, Core: core, Metrics: metrics, parts: parts}
+	n.callers = &platform.Callers{Relay: core.Relayer, Limits: n.limits, Leaving: n.leaving.Load, Meter: metrics, Body: settings.Limits.Body}
+	core.Relayer.Leaving = n.leaving.Load
+	lifecycle.Append(fx.Hook{OnStart: n.start, OnStop: n.stop})
+	return n
+}
+
+// limits returns what callers may send.
+func (n *RelayNode) limits() dragonflypass.CallerLimits {
+	if table := n.Core.Router.Current(); table != nil {
+		return table.Limits
+	}
+	return dragonflypass.CallerLimits{}
+}
+
+func (n *RelayNode) ready() bool { return !n.leaving.Load() && n.Core.Ready() }
+
+func (n *RelayNode) start(context.Context) error {
+	ctx, cancel := context.WithCancel(context.Background())
+	n.cancel = cancel
+	for _, run := range []func(context.Context){n.parts.Pool.Run, n.parts.Timer.Run, n.Core.Run} {
+		n.running.Go(func() { run(ctx) })
+	}
+	listen := n.Settings.Listen
+	if err := n.serve(listen.Callers, n.callers); err != nil {
+		return err
+	}
+	if err := n.serve(listen.Probes, platform.Readiness(n.ready)); err != nil {
+		return err
+	}
+	n.parts.Logger.Info("started", "zone", n.Settings.Zone, "callers", listen.Callers, "peers", listen.Peers)
+	return nil
+}
+
+// serve opens the port and answers on it with the handler.
+func (n *RelayNode) serve(address netip.AddrPort, handler http.Handler) error {
+	config := net.ListenConfig{KeepAlive: -1, Control: dialer.EndSilent(callerSilence)}
+	listener, err := config.Listen(context.Background(), "tcp", address.String())
+	if err != nil {
+		return eris.Wrap(err, "assembler: open a port")
+	}
+	server := &http.Server{
+		Handler: handler, MaxHeaderBytes: callerHeader,
+		ReadHeaderTimeout: time.Duration(n.Settings.Limits.Header), IdleTimeout: time.Duration(n.Settings.Limits.Idle),
+		ErrorLog: stdlog.New(io.Discard, "", 0),
+	}
+	n.servers = append(n.servers, server)
+	n.running.Go(func() { _ = server.Serve(listener) })
+	return nil
+}
+
+// stop has the balancer turn away, lets the requests in progress end, then ends the parts.
+func (n *RelayNode) stop(ctx context.Context) error {
+	n.leaving.Store(true)
+	n.parts.Logger.Info("stopping", "requests", n.callers.Busy())
+	began := time.Now()
+	grace := time.Duration(n.Settings.Times.Grace) - graceMargin
+	for time.Since(began) < grace && (time.Since(began) < leaveTime || n.callers.Busy() > 0) && ctx.Err() == nil {
+		n.pause(ctx, idlePoll)
+	}
+	for _, server := range n.servers {
+		closing, cancel := context.WithTimeout(ctx, graceMargin/2)
+		if server.Shutdown(closing) != nil {
+			_ = server.Close()
+		}
+		cancel()
+	}
+	n.parts.Logger.Info("stopped", "requests", n.callers.Busy())
+	n.cancel()
+	n.running.Wait()
+	n.parts.Store.Close()
+	n.parts.Servers.Close()
+	return nil
+}
+
+// pause waits for the span or until ctx ends.
+func (n *RelayNode) pause(ctx context.Context, span time.Duration) {
+	alarm := time.NewTimer(span)
+	defer alarm.Stop()
+	select {
+	case <-alarm.C:
+	case <-ctx.Done():
+	}
+}
--- a/adapter/loader/loader.go
+++ b/adapter/loader/loader.go
@@ -4,7 +4,6 @@
 	"bytes"
 	"cmp"
 	_ "embed"
-	"encoding/json"
 	"net/netip"
 	"os"
 	"path/filepath"
@@ -166,20 +165,9 @@
 
 // Parse checks settings and fills in the defaults; secrets in files are not read.
 func Parse(data []byte) (*Settings, error) {
-	document, err := jsonschema.UnmarshalJSON(bytes.NewReader(data))
-	if err != nil {
-		return nil, Faults{{Path: "/", Message: "not valid JSON: " + err.Error()}}
-	}
-	schema, err := compile()
-	if err != nil {
-		return nil, err
-	}
-	if faults := validate(schema, document); len(faults) > 0 {
-		return nil, faults
-	}
 	settings := &Settings{}
-	if err := json.Unmarshal(data, settings); err != nil {
-		return nil, Faults{{Path: "/", Message: err.Error()}}
+	if err := parse(data, schemaText, settings); err != nil {
+		return nil, err
 	}
 	settings.fill()
 	if faults := settings.check(); len(faults) > 0 {
@@ -188,7 +176,7 @@
 	return settings, nil
 }
 
-func compile() (*jsonschema.Schema, error) {
+func compile(schemaText []byte) (*jsonschema.Schema, error) {
 	document, err := jsonschema.UnmarshalJSON(bytes.NewReader(schemaText))
 	if err != nil {
 		return nil, eris.Wrap(err, "loader: read the schema")
@@ -254,12 +242,13 @@
 	}
 }
 
-func (s *Settings) fill() {
-	fillSpan := func(span *encoder.Span, value time.Duration) {
-		if *span == 0 {
-			*span = encoder.Span(value)
-		}
+func fillSpan(span *encoder.Span, value time.Duration) {
+	if *span == 0 {
+		*span = encoder.Span(value)
 	}
+}
+
+func (s *Settings) fill() {
 	s.Log.Level = cmp.Or(s.Log.Level, "info")
 	s.Log.Format = cmp.Or(s.Log.Format, "text")
 	s.Limits.Body = cmp.Or(s.Limits.Body, 16<<20)
--- a/adapter/messenger/client.go
+++ b/adapter/messenger/client.go
@@ -195,7 +195,7 @@
 	if err != nil {
 		return dragonflypass.Permit{}, err
 	}
-	a, err := k.ask(ctx, kindAcquire, toAcquire(request), func(id uint64) {
+	a, err := k.ask(ctx, kindAcquire, toAcquire(request, time.Now()), func(id uint64) {
 		_ = k.link.send(envelope{ID: id, Kind: kindWithdraw})
 	})
 	switch {
@@ -245,6 +245,12 @@
 	return err
 }
 
+// Prefilled tells the owner that the permit's prompt has been processed.
+func (c *Client) Prefilled(ctx context.Context, owner dragonflypass.VM, id dragonflypass.StreamID) error {
+	_, err := c.simple(ctx, owner, kindPrefill, toStream(id))
+	return err
+}
+
 func (c *Client) simple(ctx context.Context, to dragonflypass.VM, kind string, value any) (answer, error) {
 	k, err := c.caller(ctx, to)
 	if err != nil {
--- a/adapter/messenger/message.go
+++ b/adapter/messenger/message.go
@@ -19,6 +19,7 @@
 	kindBeat     = "beat"
 	kindEntries  = "entries"
 	kindCrash    = "crash"
+	kindPrefill  = "prefilled"
 	kindAnswer   = "answer"
 )
 
@@ -60,21 +61,35 @@
 	Expected    int         `cbor:"expected"`
 	Pace        int64       `cbor:"pace,omitempty"`
 	Fingerprint fingerprint `cbor:"print"`
-	Deadline    int64       `cbor:"deadline"`
-	Latest      int64       `cbor:"latest"`
-	Target      int64       `cbor:"target"`
-	Breaks      int         `cbor:"breaks,omitempty"`
-	Exclude     []string    `cbor:"exclude,omitempty"`
-	Only        string      `cbor:"only,omitempty"`
-	Group       uint64      `cbor:"group,omitempty"`
+	// Deadline, Latest and Target are the times left in nanoseconds, for the clocks of VMs differ.
+	Deadline int64    `cbor:"deadline"`
+	Latest   int64    `cbor:"latest,omitempty"`
+	Target   int64    `cbor:"target,omitempty"`
+	Breaks   int      `cbor:"breaks,omitempty"`
+	Exclude  []string `cbor:"exclude,omitempty"`
+	Only     string   `cbor:"only,omitempty"`
+	Group    uint64   `cbor:"group,omitempty"`
+	Service  string   `cbor:"service,omitempty"`
+	Level    int      `cbor:"level,omitempty"`
+	Gap      int64    `cbor:"gap,omitempty"`
 }
 
 type permit struct {
-	Stream   stream `cbor:"stream"`
-	Owner    string `cbor:"owner"`
-	Server   string `cbor:"server"`
-	Address  string `cbor:"address"`
-	Priority int    `cbor:"priority"`
+	Stream   stream   `cbor:"stream"`
+	Owner    string   `cbor:"owner"`
+	Server   string   `cbor:"server"`
+	Address  string   `cbor:"address"`
+	Priority int      `cbor:"priority"`
+	Helpers  []helper `cbor:"helpers,omitempty"`
+	First    int64    `cbor:"first,omitempty"`
+}
+
+// helper is written as an array, for a permit may have many.
+type helper struct {
+	_           struct{} `cbor:",toarray"`
+	Server      string
+	Address     string
+	Reservation string
 }
 
 type refusal struct {
@@ -103,8 +118,24 @@
 	Config      uint64 `cbor:"config"`
 	Loads       []load `cbor:"loads,omitempty"`
 	// Kept holds the sequence numbers in rising order, each less the one before.
-	Kept []uint64 `cbor:"kept,omitempty"`
-	Held []held   `cbor:"held,omitempty"`
+	Kept  []uint64 `cbor:"kept,omitempty"`
+	Held  []held   `cbor:"held,omitempty"`
+	Marks []mark   `cbor:"marks,omitempty"`
+}
+
+type mark struct {
+	Topic   string   `cbor:"topic"`
+	End     uint64   `cbor:"end"`
+	Known   bool     `cbor:"known,omitempty"`
+	Age     int64    `cbor:"age"`
+	Updates []update `cbor:"updates,omitempty"`
+	Whole   bool     `cbor:"whole,omitempty"`
+}
+
+type update struct {
+	Key    string `cbor:"key"`
+	Offset uint64 `cbor:"offset"`
+	Raw    []byte `cbor:"raw,omitempty"`
 }
 
 // load is written as an array, for every heartbeat has many.
@@ -184,12 +215,32 @@
 	return dragonflypass.Fingerprint{Account: dragonflypass.AccountID(f.Account), Model: dragonflypass.ModelID(f.Model), Body: f.Body}
 }
 
-func toAcquire(r dragonflypass.PermitRequest) acquire {
+// toLeft returns the time left to the instant in nanoseconds, zero for none.
+func toLeft(t, now time.Time) int64 {
+	switch {
+	case t.IsZero():
+		return 0
+	case t.Equal(now):
+		return -1
+	}
+	return int64(t.Sub(now))
+}
+
+func fromLeft(left int64, now time.Time) time.Time {
+	if left == 0 {
+		return time.Time{}
+	}
+	return now.Add(time.Duration(left))
+}
+
+func toAcquire(r dragonflypass.PermitRequest, now time.Time) acquire {
 	w := acquire{
 		Stream: toStream(r.Stream), Account: string(r.Account), Weight: r.Weight, Model: string(r.Model), Rank: uint8(r.Rank),
 		Prompt: r.PromptTokens, Output: r.OutputTokens, Expected: r.ExpectedTokens,
 		Pace: int64(r.Pace), Fingerprint: toFingerprint(r.Fingerprint),
-		Deadline: toNano(r.Deadline), Latest: toNano(r.LatestStart), Target: toNano(r.Target), Breaks: r.Breaks, Only: string(r.Only), Group: r.Group,
+		Deadline: toLeft(r.Deadline, now), Latest: toLeft(r.LatestStart, now), Target: toLeft(r.Target, now),
+		Breaks: r.Breaks, Only: string(r.Only), Group: r.Group,
+		Service: string(r.Service), Level: r.Priority, Gap: int64(r.Pause),
 	}
 	for _, server := range r.Exclude {
 		w.Exclude = append(w.Exclude, string(server))
@@ -197,14 +248,15 @@
 	return w
 }
 
-func (w acquire) request() dragonflypass.PermitRequest {
+func (w acquire) request(now time.Time) dragonflypass.PermitRequest {
 	r := dragonflypass.PermitRequest{
 		Stream: w.Stream.id(), Account: dragonflypass.AccountID(w.Account), Weight: w.Weight, Model: dragonflypass.ModelID(w.Model),
 		Rank:         min(dragonflypass.Rank(w.Rank), dragonflypass.RankBulk),
 		PromptTokens: w.Prompt, OutputTokens: w.Output, ExpectedTokens: w.Expected,
 		Pace: time.Duration(w.Pace), Fingerprint: w.Fingerprint.fingerprint(),
-		Deadline: fromNano(w.Deadline), LatestStart: fromNano(w.Latest), Target: fromNano(w.Target),
+		Deadline: fromLeft(w.Deadline, now), LatestStart: fromLeft(w.Latest, now), Target: fromLeft(w.Target, now),
 		Breaks: w.Breaks, Only: dragonflypass.ServerID(w.Only), Group: w.Group,
+		Service: dragonflypass.ServiceID(w.Service), Priority: w.Level, Pause: time.Duration(w.Gap),
 	}
 	for _, server := range w.Exclude {
 		r.Exclude = append(r.Exclude, dragonflypass.ServerID(server))
@@ -213,15 +265,30 @@
 }
 
 func toPermit(p dragonflypass.Permit) *permit {
-	return &permit{Stream: toStream(p.Stream), Owner: string(p.Owner), Server: string(p.Server), Address: p.Address.String(), Priority: p.Priority}
+	w := &permit{
+		Stream: toStream(p.Stream), Owner: string(p.Owner), Server: string(p.Server), Address: p.Address.String(),
+		Priority: p.Priority, First: int64(p.First),
+	}
+	for _, h := range p.Helpers {
+		w.Helpers = append(w.Helpers, helper{Server: string(h.Server), Address: h.Address.String(), Reservation: h.Reservation})
+	}
+	return w
 }
 
 func (w *permit) permit() (dragonflypass.Permit, error) {
 	address, err := parseAddress(w.Address)
-	return dragonflypass.Permit{
+	p := dragonflypass.Permit{
 		Stream: w.Stream.id(), Owner: dragonflypass.VMID(w.Owner), Server: dragonflypass.ServerID(w.Server),
-		Address: address, Priority: w.Priority,
-	}, err
+		Address: address, Priority: w.Priority, First: time.Duration(w.First),
+	}
+	for _, h := range w.Helpers {
+		address, failed := parseAddress(h.Address)
+		if failed != nil {
+			return p, failed
+		}
+		p.Helpers = append(p.Helpers, dragonflypass.Helper{Server: dragonflypass.ServerID(h.Server), Address: address, Reservation: h.Reservation})
+	}
+	return p, err
 }
 
 func toRefusal(r *dragonflypass.Refusal) *refusal {
@@ -268,9 +335,30 @@
 			Rank: uint8(h.Rank), Account: string(h.Account), Deadline: toNano(h.Deadline),
 		})
 	}
+	for _, m := range b.Marks {
+		w.Marks = append(w.Marks, toMark(m))
+	}
+	return w
+}
+
+func toMark(m dragonflypass.Mark) mark {
+	w := mark{Topic: string(m.Topic), End: uint64(m.End), Known: m.Known, Age: int64(m.Age), Whole: m.Whole}
+	for _, u := range m.Updates {
+		w.Updates = append(w.Updates, update{Key: u.Key, Offset: uint64(u.Offset), Raw: u.Raw})
+	}
 	return w
 }
 
+func (w mark) mark() dragonflypass.Mark {
+	m := dragonflypass.Mark{
+		Topic: dragonflypass.Topic(w.Topic), End: dragonflypass.Offset(w.End), Known: w.Known, Age: time.Duration(w.Age), Whole: w.Whole,
+	}
+	for _, u := range w.Updates {
+		m.Updates = append(m.Updates, dragonflypass.Update{Key: u.Key, Offset: dragonflypass.Offset(u.Offset), Raw: u.Raw})
+	}
+	return m
+}
+
 func (w beat) beat() (dragonflypass.Heartbeat, error) {
 	peer, err := parseAddress(w.From.Peer)
 	b := dragonflypass.Heartbeat{
@@ -298,6 +386,9 @@
 			Rank: dragonflypass.Rank(h.Rank), Account: dragonflypass.AccountID(h.Account), Deadline: fromNano(h.Deadline),
 		})
 	}
+	for _, m := range w.Marks {
+		b.Marks = append(b.Marks, m.mark())
+	}
 	return b, err
 }
 
@@ -359,7 +450,7 @@
 func PermitBytes(request dragonflypass.PermitRequest, granted dragonflypass.Permit, returned dragonflypass.PermitRelease) int {
 	total := 0
 	for _, e := range []envelope{
-		{ID: 1 << 20, Kind: kindAcquire, Body: body(toAcquire(request))},
+		{ID: 1 << 20, Kind: kindAcquire, Body: body(toAcquire(request, time.Now()))},
 		{ID: 1 << 20, Kind: kindAnswer, Body: body(answer{Permit: toPermit(granted)})},
 		{ID: 1 << 20, Kind: kindRelease, Body: body(toRelease(returned))},
 		{ID: 1 << 20, Kind: kindAnswer, Body: body(answer{})},
--- a/adapter/messenger/messenger_test.go
+++ b/adapter/messenger/messenger_test.go
@@ -72,6 +72,8 @@
 	return dragonflypass.Page{First: from, Next: from + 1, Entries: []dragonflypass.Entry{{Offset: from, At: time.Unix(6, 0), Record: dragonflypass.Record{Change: &change}}}}
 }
 
+func (a *answerer) Prefilled(dragonflypass.StreamID) {}
+
 func (a *answerer) Report(crash dragonflypass.Crash) { a.crashes <- crash }
 
 // connect starts a server for the answerer and returns a client and the server's VM.
--- a/adapter/messenger/server.go
+++ b/adapter/messenger/server.go
@@ -5,6 +5,7 @@
 	"crypto/subtle"
 	"net/http"
 	"sync"
+	"time"
 
 	"github.com/coder/websocket"
 	"github.com/fxamacker/cbor/v2"
@@ -111,7 +112,7 @@
 		return false
 	}
 	waits.add(e.ID)
-	request := wire.request()
+	request := wire.request(time.Now())
 	withdraw := s.Handler.Acquire(request, func(p dragonflypass.Permit, err error) {
 		waits.done(e.ID)
 		a := answer{}
@@ -164,6 +165,12 @@
 			return a, false
 		}
 		s.Handler.Report(wire.crash())
+	case kindPrefill:
+		var wire stream
+		if cbor.Unmarshal(e.Body, &wire) != nil {
+			return a, false
+		}
+		s.Handler.Prefilled(wire.id())
 	default:
 		return a, false
 	}
--- a/adapter/timer/timer.go
+++ b/adapter/timer/timer.go
@@ -7,12 +7,16 @@
 	"sync/atomic"
 	"time"
 
+	"golang.org/x/sys/unix"
+
 	"github.com/dragonflypass/dragonflypass"
 )
 
 // Service hands jobs to the pool of workers when their time has come.
 type Service struct {
 	Pool dragonflypass.Pool
+	// Boot returns the time since the VM was started, the time in which it stood still included.
+	Boot func() time.Duration
 
 	mutex sync.Mutex
 	queue subscriptions
@@ -34,9 +38,22 @@
 
 // New returns a timer service that runs its jobs on the pool.
 func New(pool dragonflypass.Pool) *Service {
-	return &Service{Pool: pool, wake: make(chan struct{}, 1)}
+	return &Service{Pool: pool, Boot: bootTime, wake: make(chan struct{}, 1)}
 }
 
+// bootTime reads the system's clock that counts suspension.
+func bootTime() time.Duration {
+	var spec unix.Timespec
+	// The clock is always there on Linux, the only system that the program runs on.
+	if err := unix.ClockGettime(unix.CLOCK_BOOTTIME, &spec); err != nil {
+		panic(err)
+	}
+	return time.Duration(spec.Nano())
+}
+
+// Uptime returns the time since the VM was started, the time in which it stood still included.
+func (s *Service) Uptime() time.Duration { return s.Boot() }
+
 // Now returns the current instant.
 func (s *Service) Now() time.Time { return time.Now() }
 
--- a/cmd/dragonflypass/main.go
+++ b/cmd/dragonflypass/main.go
@@ -28,7 +28,7 @@
 		SilenceUsage:  true,
 		SilenceErrors: true,
 	}
-	root.AddCommand(newServeCommand(), newCheckCommand(), newVersionCommand())
+	root.AddCommand(newServeCommand(), newRelayCommand(), newCheckCommand(), newVersionCommand())
 	return root
 }
 
--- /dev/null
+++ b/core/relayer/relayer.go
@@ -0,0 +1,203 @@
+package relayer
+
+import (
+	"context"
+	"sync/atomic"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"github.com/dragonflypass/dragonflypass"
+	"github.com/dragonflypass/dragonflypass/core/balancer"
+	"github.com/dragonflypass/dragonflypass/core/locker"
+	"github.com/dragonflypass/dragonflypass/core/retrier"
+	"github.com/dragonflypass/dragonflypass/core/router"
+)
+
+// The errors of this layer.
+var (
+	// errCaller means that the caller takes no more of the answer.
+	errCaller = eris.New("relayer: the caller has gone away")
+	// errStalled ends a stream on which nothing came in time.
+	errStalled = eris.New("relayer: the stream has stalled")
+)
+
+const (
+	// soonRetry is the time after which a caller is told to come back when no server could be reached.
+	soonRetry = 200 * time.Millisecond
+	// sweepEvery is the time between two looks at the open streams.
+	sweepEvery = 100 * time.Millisecond
+)
+
+// Permits gives leave to use model servers.
+type Permits interface {
+	// Acquire waits for a permit; the error is a Refusal or that of ctx.
+	Acquire(ctx context.Context, request dragonflypass.PermitRequest) (dragonflypass.Permit, error)
+	// Prefilled notes that the permit's prompt has been processed.
+	Prefilled(permit dragonflypass.Permit)
+	// Release returns the permit.
+	Release(permit dragonflypass.Permit, release dragonflypass.PermitRelease)
+}
+
+// Directory tells which backend servers may be given work.
+type Directory interface {
+	// Servers returns the servers of the service.
+	Servers(service dragonflypass.ServiceID) []dragonflypass.ServerEntry
+}
+
+// Relayer serves exchanges.
+type Relayer struct {
+	Self        dragonflypass.VM
+	Incarnation uint64
+	Timer       dragonflypass.Timer
+	Backend     dragonflypass.Backend
+	Meter       dragonflypass.Meter
+	Logger      dragonflypass.Logger
+	Router      *router.Router
+	Directory   Directory
+	Balancer    *balancer.Balancer
+	Permits     Permits
+	Retrier     *retrier.Retrier
+	// Leaving reports whether this VM's shutdown has begun.
+	Leaving func() bool
+
+	sequence atomic.Uint64
+
+	mutex locker.Mutex
+	open  map[dragonflypass.StreamID]*openStream
+}
+
+// New returns a relayer without exchanges.
+func New() *Relayer {
+	return &Relayer{
+		mutex: locker.Mutex{Order: locker.Permits},
+		open:  make(map[dragonflypass.StreamID]*openStream),
+	}
+}
+
+// Run looks after the open streams until ctx ends.
+func (r *Relayer) Run(ctx context.Context) {
+	stop := r.Timer.Every(dragonflypass.JobSweep, sweepEvery, r.Sweep)
+	defer stop()
+	<-ctx.Done()
+}
+
+// job is one exchange in progress.
+type job struct {
+	exchange *dragonflypass.Exchange
+	found    router.Found
+	route    *dragonflypass.RoutePolicy
+	service  dragonflypass.ServiceID
+	to       dragonflypass.Recipient
+	// deadline is the instant by which the exchange has its final answer.
+	deadline time.Time
+	// attempts is the number of servers that the request was sent to.
+	attempts int
+	exclude  []dragonflypass.ServerID
+	// ran is set once a server may have run the request.
+	ran bool
+	// begun is set once the head of an answer was passed on.
+	begun bool
+	// status is the status passed on, or zero.
+	status int
+	// first is the instant at which the first piece was passed on.
+	first time.Time
+	// last identifies the last event passed on.
+	last string
+	// events is the number of events passed on.
+	events int
+	// trail names the attempts for the log.
+	trail []string
+}
+
+// Relay serves an exchange; the error is a Refusal when nothing was passed on, else ErrBroken.
+func (r *Relayer) Relay(ctx context.Context, e *dragonflypass.Exchange, to dragonflypass.Recipient) error {
+	found, refusal := r.Router.Find(e)
+	if refusal != nil {
+		r.Meter.Add(dragonflypass.CountRefused, 1)
+		r.Logger.Info("request refused", "id", e.ID, "reason", refusal.Reason, "detail", refusal.Detail, "routing_age", found.Age)
+		return refusal
+	}
+	j := &job{exchange: e, found: found, route: found.Route, to: to, last: e.LastEvent, service: router.Service(found.Route)}
+	j.deadline = e.Arrived.Add(found.Route.Timeout)
+	if e.Deadline.Before(j.deadline) {
+		j.deadline = e.Deadline
+	}
+	r.Meter.Add(dragonflypass.CountAdmitted, 1)
+	r.Retrier.Earn()
+	ctx, cancel := r.Timer.WithDeadline(ctx, j.deadline)
+	defer cancel()
+	serve := r.whole
+	if j.route.Kind == dragonflypass.KindStream {
+		serve = r.streamed
+	}
+	err := serve(ctx, j)
+	r.finish(ctx, j, err)
+	return err
+}
+
+// finish counts and logs the end of an exchange.
+func (r *Relayer) finish(ctx context.Context, j *job, err error) {
+	outcome, counter := "answered", dragonflypass.CountFinished
+	refusal, refused := dragonflypass.AsRefusal(err)
+	switch {
+	case err == nil:
+	case refused && refusal.Ran == dragonflypass.RanNot:
+		outcome, counter = string(refusal.Reason), dragonflypass.CountRefused
+	case refused && refusal.Reason == dragonflypass.ReasonTimeout:
+		outcome, counter = string(refusal.Reason), dragonflypass.CountTimeout
+	case refused && refusal.Reason == dragonflypass.ReasonCancelled:
+		outcome, counter = string(refusal.Reason), dragonflypass.CountCancelled
+	default:
+		outcome, counter = "broken", dragonflypass.CountFailed
+	}
+	r.Meter.Add(counter, 1)
+	now := r.Timer.Now()
+	first := time.Duration(-1)
+	if !j.first.IsZero() {
+		first = j.first.Sub(j.exchange.Arrived)
+	}
+	r.Logger.Info("request ended", "id", j.exchange.ID, "route", j.route.Name, "service", j.service, "outcome", outcome,
+		"status", j.status, "first", first, "whole", now.Sub(j.exchange.Arrived), "left", j.deadline.Sub(now),
+		"events", j.events, "attempts", j.trail, "routing", j.found.Table.Version, "routing_age", j.found.Age, "error", err)
+	_ = ctx
+}
+
+// refusal turns the error that ended an exchange into what its caller is told.
+func (r *Relayer) refusal(ctx context.Context, j *job, reason dragonflypass.Reason, retry time.Duration, detail string) error {
+	if j.begun {
+		return eris.Wrap(dragonflypass.ErrBroken, detail)
+	}
+	refusal := &dragonflypass.Refusal{Reason: reason, Ran: dragonflypass.RanNot, Retry: retry, Detail: detail}
+	if j.ran {
+		refusal.Ran = dragonflypass.RanMaybe
+	}
+	switch {
+	case ctx.Err() != nil && !r.Timer.Now().Before(j.deadline):
+		refusal.Reason, refusal.Detail = dragonflypass.ReasonTimeout, "the request did not end in its time"
+	case ctx.Err() != nil:
+		refusal.Reason, refusal.Detail = dragonflypass.ReasonCancelled, "the caller has gone away"
+	}
+	return refusal
+}
+
+// delivery describes one sending of the exchange.
+func (j *job) delivery(server dragonflypass.ServerID) dragonflypass.Delivery {
+	return dragonflypass.Delivery{
+		Exchange: j.exchange, Server: server, Account: j.found.Account, Deadline: j.deadline, Urgency: -1,
+		LastEvent: j.last, Stream: j.route.Kind == dragonflypass.KindStream, Single: !j.route.Repeatable(),
+	}
+}
+
+// mayRetry reports whether the request may be sent to one more server.
+func (r *Relayer) mayRetry(ctx context.Context, j *job) bool {
+	if ctx.Err() != nil || j.attempts >= j.route.Attempts || (j.ran && !j.route.Repeatable()) {
+		return false
+	}
+	if !r.Retrier.Spend() {
+		r.Meter.Add(dragonflypass.CountRetryBudgetSpent, 1)
+		return false
+	}
+	r.Meter.Add(dragonflypass.CountRetried, 1)
+	return true
+}
--- a/core/scheduler/report.go
+++ b/core/scheduler/report.go
@@ -147,3 +147,6 @@
 	srv.levels = [levelCount]time.Time{}
 	srv.hasLong = false
 }
+
+// Prefilled changes nothing: the server's reports tell which prompts have been processed.
+func (s *Scheduler) Prefilled(dragonflypass.StreamID) {}
--- a/errors.go
+++ b/errors.go
@@ -42,6 +42,7 @@
 	ReasonInProgress   Reason = "in-progress"
 	ReasonUnknown      Reason = "unknown-outcome"
 	ReasonConflict     Reason = "conflict"
+	ReasonNoRouting    Reason = "no-routing"
 )
 
 // Refusal is the error by which a request is refused or fails.
--- a/internal/fake/clock.go
+++ b/internal/fake/clock.go
@@ -33,6 +33,9 @@
 // Now returns the virtual instant.
 func (c *Clock) Now() time.Time { return c.now }
 
+// Uptime returns the virtual time since 1970.
+func (c *Clock) Uptime() time.Duration { return time.Duration(c.now.UnixNano()) }
+
 // After runs the job once the span has passed.
 func (c *Clock) After(span time.Duration, job func()) {
 	c.schedule(c.now.Add(span), func(context.Context) { job() })
--- a/internal/fake/network.go
+++ b/internal/fake/network.go
@@ -214,3 +214,13 @@
 	}
 	return shown, nil
 }
+
+// Prefilled tells the owner that the permit's prompt has been processed.
+func (p *Port) Prefilled(ctx context.Context, owner dragonflypass.VM, stream dragonflypass.StreamID) error {
+	handler, err := p.reach(ctx, owner.ID)
+	if err != nil {
+		return err
+	}
+	handler.Prefilled(stream)
+	return nil
+}
--- a/metrics.go
+++ b/metrics.go
@@ -42,6 +42,12 @@
 	CountJobShed          Counter = "jobs_shed"
 	CountJobRun           Counter = "jobs_run"
 	CountRetryBudgetSpent Counter = "retry_budget_spent"
+	CountServerLeftOut    Counter = "servers_left_out"
+	CountStoreCalls       Counter = "store_calls"
+	CountStoreFailed      Counter = "store_calls_failed"
+	CountRecordUnreadable Counter = "records_unreadable"
+	CountServerDials      Counter = "server_connections_made"
+	CountForeignAnswers   Counter = "foreign_answers_dropped"
 )
 
 // The measured durations of the system.
--- a/permit.go
+++ b/permit.go
@@ -34,6 +34,12 @@
 	Only ServerID
 	// Group is the same for all streams of a prompt that several servers hold together, zero for others.
 	Group uint64
+	// Service names the service whose servers may run the request, empty where the model decides.
+	Service ServiceID
+	// Priority is the route's or account's rank, lower values first.
+	Priority int
+	// Pause is the longest time between two events that is still on time, zero for none.
+	Pause time.Duration
 }
 
 // Tokens returns the tokens of server memory that the request may need at most.
@@ -47,6 +53,10 @@
 	Address netip.AddrPort
 	// Priority is the engine's priority for the stream, lower values running first.
 	Priority int
+	// Helpers are the servers that process parts of the prompt.
+	Helpers []Helper
+	// First is the predicted time to the first token.
+	First time.Duration
 }
 
 // PermitRelease returns a permit with what is known of the stream's end.
--- a/ports.go
+++ b/ports.go
@@ -10,6 +10,9 @@
 type Timer interface {
 	// Now returns the current instant.
 	Now() time.Time
+	// Uptime returns the time since the VM was started; it counts the time in which the VM stood still,
+	// and no change of the time of day.
+	Uptime() time.Duration
 	// Every runs the job each period until stop is called; runs of one job do not overlap.
 	Every(kind JobKind, period time.Duration, job func(context.Context)) (stop func())
 	// At runs the job once at the instant unless stop is called before.
@@ -32,6 +35,8 @@
 	JobSweep     JobKind = "sweep"
 	JobPeer      JobKind = "peer"
 	JobOrder     JobKind = "order"
+	JobRouting   JobKind = "routing"
+	JobRegistry  JobKind = "registry"
 )
 
 // Pool runs jobs on a fixed number of workers.
@@ -56,6 +61,51 @@
 	VMs(ctx context.Context) ([]PlatformVM, error)
 }
 
+// Store is the platform's metadata store.
+type Store interface {
+	// Newest returns the newest record of each key of the topic.
+	Newest(ctx context.Context, topic Topic) (UpdatePage, error)
+	// Changes returns the records of the topic from the offset on, waiting for the first at most the span.
+	// It returns ErrTrimmed when the offset is no longer kept.
+	Changes(ctx context.Context, topic Topic, from Offset, wait time.Duration) (UpdatePage, error)
+	// Announce writes an entry VM into the topic of members.
+	Announce(ctx context.Context, vm VM) error
+	// Decode reads a record that another entry VM passed on.
+	Decode(topic Topic, key string, offset Offset, raw []byte) Update
+}
+
+// Backend passes exchanges on to backend servers.
+type Backend interface {
+	// Send passes the exchange on and returns the answer once its head has come.
+	// Errors: ErrUnavailable (nothing was sent), a ServerRefusal, or ErrUncertain.
+	Send(ctx context.Context, delivery Delivery) (Reply, error)
+	// Usage returns what the server at the address says of its memory and requests, with a lag.
+	Usage(ctx context.Context, server netip.AddrPort) (ServerUsage, error)
+	// Reserve sets memory aside at the server for the span, or renews the reservation.
+	// Errors: ErrRefused when the memory is not free, ErrUnavailable, ErrUncertain.
+	Reserve(ctx context.Context, server netip.AddrPort, reservation Reservation) error
+	// Free gives a reservation up; one that the server does not know is no error.
+	Free(ctx context.Context, server netip.AddrPort, name string) error
+}
+
+// Reply is a backend server's answer while it arrives.
+type Reply interface {
+	// Head returns the beginning of the answer.
+	Head() AnswerHead
+	// Next returns the next piece. It returns io.EOF once the answer is proved whole, else ErrBroken.
+	Next() (Piece, error)
+	// Close gives the rest of the answer up; the server stops work on a request that has not ended.
+	Close()
+}
+
+// Recipient takes the answer to an exchange.
+type Recipient interface {
+	// Begin passes the head of the answer on.
+	Begin(head AnswerHead) error
+	// Pass passes a piece of the answer on at once.
+	Pass(piece Piece) error
+}
+
 // Engine is a backend server.
 type Engine interface {
 	// Stream runs a request under the permit and passes each frame to accept, which may stop it by an error.
@@ -121,6 +171,8 @@
 	Entries(ctx context.Context, to VM, from Offset) (Page, error)
 	// Report tells another entry VM of a backend server that crashed while running the fingerprints.
 	Report(ctx context.Context, to VM, crash Crash) error
+	// Prefilled tells the owner that the permit's prompt has been processed.
+	Prefilled(ctx context.Context, owner VM, stream StreamID) error
 }
 
 // PeerHandler answers the other entry VMs.
@@ -135,6 +187,20 @@
 	Entries(from Offset) Page
 	// Report takes word of a crash.
 	Report(crash Crash)
+	// Prefilled notes that the permit's prompt has been processed.
+	Prefilled(stream StreamID)
+}
+
+// Owner is the owner's side of permits for backend servers.
+type Owner interface {
+	// Ask queues a request for a permit; told is called once unless withdraw is called before.
+	Ask(request PermitRequest, told func(Permit, error)) (withdraw func())
+	// Prefilled notes that the permit's prompt has been processed.
+	Prefilled(stream StreamID)
+	// Release takes a permit back.
+	Release(release PermitRelease)
+	// Recheck refuses the waiting requests that can no longer be served.
+	Recheck()
 }
 
 // Crash tells of a backend server that died and of what it was running.
--- a/server.go
+++ b/server.go
@@ -141,3 +141,35 @@
 	}
 	return false
 }
+
+// ServerUsage is what a model server says of its memory and requests, with a lag.
+type ServerUsage struct {
+	// Running and Queued are the numbers of requests in the batch and before it.
+	Running int
+	Queued  int
+	// Used and Total are in tokens of KV memory.
+	Used  int
+	Total int
+	// Pace is the factor by which the server is slower than declared, 1 when it is not.
+	Pace float64
+	// Born is the instant of the server's start by its own clock.
+	Born int64
+	// Reservations are the pieces of memory set aside.
+	Reservations []ReservationUsage
+}
+
+// Reservation is memory set aside at a model server.
+type Reservation struct {
+	Name string
+	// Tokens is the memory in tokens.
+	Tokens int
+	// Hold is the time after which the server takes the memory back unless the reservation is renewed.
+	Hold time.Duration
+}
+
+// ReservationUsage is one reservation in a server's report.
+type ReservationUsage struct {
+	Name   string
+	Tokens int
+	Age    time.Duration
+}
--- a/vm.go
+++ b/vm.go
@@ -60,4 +60,21 @@
 	Kept []uint64
 	// Held lists the sender's open streams at servers that the receiver owns and another VM granted.
 	Held []HeldStream
+	// Marks tell how far the sender has read the platform's topics.
+	Marks []Mark
+}
+
+// Mark tells how far an entry VM has read a topic of the platform's store.
+type Mark struct {
+	Topic Topic
+	// End is the offset up to which the topic was read.
+	End Offset
+	// Known is set when the topic has been read at all.
+	Known bool
+	// Age is the time since the beginning of the read that proved the topic to end there.
+	Age time.Duration
+	// Updates are the records that the receiver lacks, in an answer to its own mark.
+	Updates []Update
+	// Whole is set when the updates are all that the topic holds.
+	Whole bool
 }
