--- a/adapter/assembler/relay.go
+++ b/adapter/assembler/relay.go
@@ -8,7 +8,6 @@
 	"net/http"
 	"net/netip"
 	"sync"
-	"sync/atomic"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -18,6 +17,7 @@
 	"github.com/dragonflypass/dragonflypass/adapter/counter"
 	"github.com/dragonflypass/dragonflypass/adapter/dialer"
 	"github.com/dragonflypass/dragonflypass/adapter/loader"
+	"github.com/dragonflypass/dragonflypass/adapter/messenger"
 	"github.com/dragonflypass/dragonflypass/adapter/timer"
 	"github.com/dragonflypass/dragonflypass/core/composer"
 	"github.com/dragonflypass/dragonflypass/core/worker"
@@ -34,6 +34,9 @@
 	leaveTime = 2500 * time.Millisecond
 	// graceMargin is the part of the time before SIGKILL kept for closing.
 	graceMargin = 500 * time.Millisecond
+	// announceTimeout bounds one attempt to write this VM into the store, announcePause lies between two.
+	announceTimeout = 2 * time.Second
+	announcePause   = time.Second
 	// idlePoll is the time between two looks at the requests in progress.
 	idlePoll = 50 * time.Millisecond
 )
@@ -50,7 +53,8 @@
 			fx.Annotate(counter.New, fx.As(fx.Self()), fx.As(new(dragonflypass.Meter))),
 			fx.Annotate(newRelayPool, fx.As(fx.Self()), fx.As(new(dragonflypass.Pool))),
 			fx.Annotate(timer.New, fx.As(fx.Self()), fx.As(new(dragonflypass.Timer))),
-			fx.Annotate(newStore, fx.As(fx.Self()), fx.As(new(dragonflypass.Store))),
+			fx.Annotate(newStore, fx.As(fx.Self()), fx.As(new(dragonflypass.Store)), fx.As(new(dragonflypass.Directory))),
+			fx.Annotate(newRelayClient, fx.As(fx.Self()), fx.As(new(dragonflypass.Peers))),
 			fx.Annotate(newServers, fx.As(fx.Self()), fx.As(new(dragonflypass.Backend))),
 			newRelay, newRelayNode,
 		),
@@ -73,9 +77,18 @@
 	return s
 }
 
+func newRelayClient(meter dragonflypass.Meter) *messenger.Client {
+	c := messenger.NewClient()
+	c.Meter = meter
+	return c
+}
+
 type relayPorts struct {
 	fx.In
 
+	Peers     dragonflypass.Peers
+	Directory dragonflypass.Directory
+
 	Timer   dragonflypass.Timer
 	Pool    dragonflypass.Pool
 	Store   dragonflypass.Store
@@ -87,10 +100,12 @@
 // newRelay composes the decisions; the incarnation is the instant of the start, which rises with each.
 func newRelay(settings *loader.RelaySettings, ports relayPorts) *composer.Relay {
 	return composer.ComposeRelay(composer.RelayOptions{
-		Self: settings.VM(), Incarnation: uint64(time.Now().UnixNano()),
-		Revoke: time.Duration(settings.Times.Revoke), Apply: time.Duration(settings.Times.Apply),
+		Self: settings.VM(), Incarnation: uint64(time.Now().UnixNano()), Seeds: settings.Seeds,
+		Heartbeat: time.Duration(settings.Times.Heartbeat),
+		Revoke:    time.Duration(settings.Times.Revoke), Apply: time.Duration(settings.Times.Apply),
 	}, composer.RelayPorts{
 		Timer: ports.Timer, Pool: ports.Pool, Store: ports.Store, Backend: ports.Backend, Meter: ports.Meter, Logger: ports.Logger,
+		Peers: ports.Peers, Directory: ports.Directory,
 	})
 }
 
@@ -102,7 +117,7 @@
 
 	parts   relayParts
 	callers *platform.Callers
-	leaving atomic.Bool
+	peers   *messenger.Server
 	cancel  context.CancelFunc
 	running sync.WaitGroup
 	servers []*http.Server
@@ -116,14 +131,16 @@
 	Timer   *timer.Service
 	Store   *platform.Store
 	Servers *platform.Servers
+	Client  *messenger.Client
 	Logger  dragonflypass.Logger
 }
 
 // newRelayNode ties the parts to the process's start and stop.
 func newRelayNode(lifecycle fx.Lifecycle, settings *loader.RelaySettings, core *composer.Relay, metrics *counter.Counter, parts relayParts) *RelayNode {
 	n := &RelayNode{Settings: settings, Core: core, Metrics: metrics, parts: parts}
-	n.callers = &platform.Callers{Relay: core.Relayer, Limits: n.limits, Leaving: n.leaving.Load, Meter: metrics, Body: settings.Limits.Body}
-	core.Relayer.Leaving = n.leaving.Load
+	n.callers = &platform.Callers{Relay: core.Relayer, Limits: n.limits, Leaving: core.Detector.Leaving, Meter: metrics, Body: settings.Limits.Body}
+	n.peers = messenger.NewServer()
+	n.peers.Pool, n.peers.Meter, n.peers.Handler = parts.Pool, metrics, core.Handler()
 	lifecycle.Append(fx.Hook{OnStart: n.start, OnStop: n.stop})
 	return n
 }
@@ -136,8 +153,6 @@
 	return dragonflypass.CallerLimits{}
 }
 
-func (n *RelayNode) ready() bool { return !n.leaving.Load() && n.Core.Ready() }
-
 func (n *RelayNode) start(context.Context) error {
 	ctx, cancel := context.WithCancel(context.Background())
 	n.cancel = cancel
@@ -145,16 +160,33 @@
 		n.running.Go(func() { run(ctx) })
 	}
 	listen := n.Settings.Listen
-	if err := n.serve(listen.Callers, n.callers); err != nil {
-		return err
-	}
-	if err := n.serve(listen.Probes, platform.Readiness(n.ready)); err != nil {
-		return err
+	for _, port := range []struct {
+		address netip.AddrPort
+		handler http.Handler
+	}{{listen.Callers, n.callers}, {listen.Probes, platform.Readiness(n.Core.Ready)}, {listen.Peers, n.peers}} {
+		if err := n.serve(port.address, port.handler); err != nil {
+			return err
+		}
 	}
+	n.running.Go(func() { n.announce(ctx) })
 	n.parts.Logger.Info("started", "zone", n.Settings.Zone, "callers", listen.Callers, "peers", listen.Peers)
 	return nil
 }
 
+// announce writes this VM into the store, again until that is known to have been done.
+func (n *RelayNode) announce(ctx context.Context) {
+	for ctx.Err() == nil {
+		call, cancel := context.WithTimeout(ctx, announceTimeout)
+		err := n.parts.Store.Announce(call, n.Settings.VM())
+		cancel()
+		if err == nil {
+			return
+		}
+		n.parts.Logger.Warn("not announced", "error", err)
+		n.pause(ctx, announcePause)
+	}
+}
+
 // serve opens the port and answers on it with the handler.
 func (n *RelayNode) serve(address netip.AddrPort, handler http.Handler) error {
 	config := net.ListenConfig{KeepAlive: -1, Control: dialer.EndSilent(callerSilence)}
@@ -174,7 +206,7 @@
 
 // stop has the balancer turn away, lets the requests in progress end, then ends the parts.
 func (n *RelayNode) stop(ctx context.Context) error {
-	n.leaving.Store(true)
+	n.Core.Detector.Leave(ctx)
 	n.parts.Logger.Info("stopping", "requests", n.callers.Busy())
 	began := time.Now()
 	grace := time.Duration(n.Settings.Times.Grace) - graceMargin
@@ -189,6 +221,8 @@
 		cancel()
 	}
 	n.parts.Logger.Info("stopped", "requests", n.callers.Busy())
+	n.peers.Close()
+	n.parts.Client.Close()
 	n.cancel()
 	n.running.Wait()
 	n.parts.Store.Close()
--- a/adapter/messenger/client.go
+++ b/adapter/messenger/client.go
@@ -5,6 +5,7 @@
 	"crypto/tls"
 	"net/http"
 	"net/netip"
+	"strings"
 	"sync"
 	"time"
 
@@ -24,7 +25,7 @@
 
 // Client reaches the other entry VMs, over one connection to each.
 type Client struct {
-	// Credential is the bearer credential that entry VMs share.
+	// Credential is the bearer credential that entry VMs share, empty where the network alone keeps others out.
 	Credential string
 	// TLS is set when the connections are encrypted.
 	TLS   *tls.Config
@@ -108,13 +109,16 @@
 		client = &http.Client{Transport: &http.Transport{TLSClientConfig: c.TLS}}
 	}
 	header := http.Header{}
-	header.Set("Authorization", "Bearer "+c.Credential)
+	header.Set("Authorization", bearer(c.Credential))
 	socket, _, err := websocket.Dial(ctx, scheme+"://"+address.String()+path, &websocket.DialOptions{
 		HTTPClient: client, HTTPHeader: header, CompressionMode: websocket.CompressionDisabled,
 	})
 	return socket, err
 }
 
+// bearer returns the value by which a VM shows its credential.
+func bearer(credential string) string { return strings.TrimSpace("Bearer " + credential) }
+
 func (k *caller) ended() bool {
 	k.mutex.Lock()
 	defer k.mutex.Unlock()
@@ -217,14 +221,14 @@
 
 // Exchange sends a heartbeat and returns the other side's.
 func (c *Client) Exchange(ctx context.Context, to dragonflypass.VM, b dragonflypass.Heartbeat) (dragonflypass.Heartbeat, error) {
-	a, err := c.simple(ctx, to, kindBeat, toBeat(b))
+	a, err := c.simple(ctx, to, kindBeat, toBeat(b, time.Now()))
 	if err != nil {
 		return dragonflypass.Heartbeat{}, err
 	}
 	if a.Beat == nil {
 		return dragonflypass.Heartbeat{}, eris.Wrap(dragonflypass.ErrBroken, "an answer without a heartbeat")
 	}
-	return a.Beat.beat()
+	return a.Beat.beat(time.Now())
 }
 
 // Entries returns configuration entries that the other side has from the offset on.
--- a/adapter/messenger/message.go
+++ b/adapter/messenger/message.go
@@ -101,8 +101,9 @@
 type release struct {
 	Stream  stream `cbor:"stream"`
 	Server  string `cbor:"server"`
-	Output  int    `cbor:"output"`
+	Output  int    `cbor:"output,omitempty"`
 	Outcome uint8  `cbor:"outcome"`
+	Culprit string `cbor:"culprit,omitempty"`
 }
 
 type vm struct {
@@ -158,7 +159,13 @@
 	Fingerprint fingerprint `cbor:"print"`
 	Rank        uint8       `cbor:"rank"`
 	Account     string      `cbor:"account"`
-	Deadline    int64       `cbor:"deadline"`
+	// Deadline is the time left in nanoseconds.
+	Deadline  int64    `cbor:"deadline"`
+	Service   string   `cbor:"service,omitempty"`
+	Gap       int64    `cbor:"gap,omitempty"`
+	Prompt    int      `cbor:"prompt,omitempty"`
+	Prefilled bool     `cbor:"prefilled,omitempty"`
+	Helpers   []string `cbor:"helpers,omitempty"`
 }
 
 type entries struct {
@@ -300,16 +307,19 @@
 }
 
 func toRelease(r dragonflypass.PermitRelease) release {
-	return release{Stream: toStream(r.Stream), Server: string(r.Server), Output: r.OutputTokens, Outcome: uint8(r.Outcome)}
+	return release{
+		Stream: toStream(r.Stream), Server: string(r.Server), Output: r.OutputTokens, Outcome: uint8(r.Outcome), Culprit: string(r.Culprit),
+	}
 }
 
 func (w release) release() dragonflypass.PermitRelease {
 	return dragonflypass.PermitRelease{
-		Stream: w.Stream.id(), Server: dragonflypass.ServerID(w.Server), OutputTokens: w.Output, Outcome: dragonflypass.StreamOutcome(w.Outcome),
+		Stream: w.Stream.id(), Server: dragonflypass.ServerID(w.Server), OutputTokens: w.Output,
+		Outcome: dragonflypass.StreamOutcome(w.Outcome), Culprit: dragonflypass.ServerID(w.Culprit),
 	}
 }
 
-func toBeat(b dragonflypass.Heartbeat) beat {
+func toBeat(b dragonflypass.Heartbeat, now time.Time) beat {
 	w := beat{
 		From:        vm{ID: string(b.From.ID), Zone: string(b.From.Zone), Peer: b.From.Peer.String(), Leaving: b.From.Leaving},
 		Incarnation: b.Incarnation, Config: uint64(b.Config),
@@ -330,10 +340,7 @@
 		before = sequence
 	}
 	for _, h := range b.Held {
-		w.Held = append(w.Held, held{
-			Stream: toStream(h.Stream), Server: string(h.Server), Tokens: h.Tokens, Fingerprint: toFingerprint(h.Fingerprint),
-			Rank: uint8(h.Rank), Account: string(h.Account), Deadline: toNano(h.Deadline),
-		})
+		w.Held = append(w.Held, toHeld(h, now))
 	}
 	for _, m := range b.Marks {
 		w.Marks = append(w.Marks, toMark(m))
@@ -341,6 +348,30 @@
 	return w
 }
 
+func toHeld(h dragonflypass.HeldStream, now time.Time) held {
+	w := held{
+		Stream: toStream(h.Stream), Server: string(h.Server), Tokens: h.Tokens, Fingerprint: toFingerprint(h.Fingerprint),
+		Rank: uint8(h.Rank), Account: string(h.Account), Deadline: toLeft(h.Deadline, now),
+		Service: string(h.Service), Gap: int64(h.Pause), Prompt: h.Prompt, Prefilled: h.Prefilled,
+	}
+	for _, server := range h.Helpers {
+		w.Helpers = append(w.Helpers, string(server))
+	}
+	return w
+}
+
+func (w held) held(now time.Time) dragonflypass.HeldStream {
+	h := dragonflypass.HeldStream{
+		Stream: w.Stream.id(), Server: dragonflypass.ServerID(w.Server), Tokens: w.Tokens, Fingerprint: w.Fingerprint.fingerprint(),
+		Rank: dragonflypass.Rank(w.Rank), Account: dragonflypass.AccountID(w.Account), Deadline: fromLeft(w.Deadline, now),
+		Service: dragonflypass.ServiceID(w.Service), Pause: time.Duration(w.Gap), Prompt: w.Prompt, Prefilled: w.Prefilled,
+	}
+	for _, server := range w.Helpers {
+		h.Helpers = append(h.Helpers, dragonflypass.ServerID(server))
+	}
+	return h
+}
+
 func toMark(m dragonflypass.Mark) mark {
 	w := mark{Topic: string(m.Topic), End: uint64(m.End), Known: m.Known, Age: int64(m.Age), Whole: m.Whole}
 	for _, u := range m.Updates {
@@ -359,7 +390,7 @@
 	return m
 }
 
-func (w beat) beat() (dragonflypass.Heartbeat, error) {
+func (w beat) beat(now time.Time) (dragonflypass.Heartbeat, error) {
 	peer, err := parseAddress(w.From.Peer)
 	b := dragonflypass.Heartbeat{
 		From:        dragonflypass.VM{ID: dragonflypass.VMID(w.From.ID), Zone: dragonflypass.AvailabilityZone(w.From.Zone), Peer: peer, Leaving: w.From.Leaving},
@@ -381,10 +412,7 @@
 		b.Kept = append(b.Kept, sequence)
 	}
 	for _, h := range w.Held {
-		b.Held = append(b.Held, dragonflypass.HeldStream{
-			Stream: h.Stream.id(), Server: dragonflypass.ServerID(h.Server), Tokens: h.Tokens, Fingerprint: h.Fingerprint.fingerprint(),
-			Rank: dragonflypass.Rank(h.Rank), Account: dragonflypass.AccountID(h.Account), Deadline: fromNano(h.Deadline),
-		})
+		b.Held = append(b.Held, h.held(now))
 	}
 	for _, m := range w.Marks {
 		b.Marks = append(b.Marks, m.mark())
@@ -434,13 +462,13 @@
 
 // Transcode encodes a heartbeat, decodes it again and returns its size in bytes.
 func Transcode(b dragonflypass.Heartbeat) int {
-	data := body(envelope{ID: 1, Kind: kindBeat, Body: body(toBeat(b))})
+	data := body(envelope{ID: 1, Kind: kindBeat, Body: body(toBeat(b, time.Now()))})
 	var e envelope
 	var wire beat
 	if cbor.Unmarshal(data, &e) != nil || cbor.Unmarshal(e.Body, &wire) != nil {
 		return 0
 	}
-	if _, err := wire.beat(); err != nil {
+	if _, err := wire.beat(time.Now()); err != nil {
 		return 0
 	}
 	return len(data)
--- a/adapter/messenger/server.go
+++ b/adapter/messenger/server.go
@@ -15,7 +15,7 @@
 
 // Server answers the other entry VMs.
 type Server struct {
-	// Credential is the bearer credential that entry VMs share.
+	// Credential is the bearer credential that entry VMs share, empty where the network alone keeps others out.
 	Credential string
 	Handler    dragonflypass.PeerHandler
 	Pool       dragonflypass.Pool
@@ -35,7 +35,7 @@
 		http.NotFound(w, r)
 		return
 	}
-	if subtle.ConstantTimeCompare([]byte(r.Header.Get("Authorization")), []byte("Bearer "+s.Credential)) != 1 {
+	if subtle.ConstantTimeCompare([]byte(r.Header.Get("Authorization")), []byte(bearer(s.Credential))) != 1 {
 		http.Error(w, "the credential is missing or wrong", http.StatusUnauthorized)
 		return
 	}
@@ -143,11 +143,11 @@
 		if cbor.Unmarshal(e.Body, &wire) != nil {
 			return a, false
 		}
-		heard, err := wire.beat()
+		heard, err := wire.beat(time.Now())
 		if err != nil {
 			return a, false
 		}
-		own := toBeat(s.Handler.Exchange(heard))
+		own := toBeat(s.Handler.Exchange(heard), time.Now())
 		a.Beat = &own
 	case kindEntries:
 		var wire entries
--- a/core/allocator/allocator.go
+++ b/core/allocator/allocator.go
@@ -2,66 +2,283 @@
 
 import (
 	"context"
-	"slices"
 	"time"
 
 	"github.com/dragonflypass/dragonflypass"
+	"github.com/dragonflypass/dragonflypass/core/assessor"
 	"github.com/dragonflypass/dragonflypass/core/locker"
+	"github.com/dragonflypass/dragonflypass/core/predictor"
+)
+
+const (
+	// transit is the time from a grant to the arrival of the request at its server, and from an event at the
+	// server to the news of it here: two links between zones and the work of two VMs.
+	transit = 2 * time.Millisecond
+	// leaseTime is how long a permit outlives the last word of the entry VM that holds it.
+	leaseTime = 4 * time.Second
+	// lateTime is how long a permit whose prompt is not reported as processed counts as being read after the predicted end.
+	lateTime = 2 * time.Second
+	// sweepEvery is the time between two looks at waiting requests and permits.
+	sweepEvery = 100 * time.Millisecond
+	// soonRetry is the time after which a refused caller is told to come back.
+	soonRetry = 200 * time.Millisecond
 )
 
 // Allocator grants permits for model servers.
 type Allocator struct {
-	Self   dragonflypass.VMID
-	Timer  dragonflypass.Timer
-	Meter  dragonflypass.Meter
-	Logger dragonflypass.Logger
-	// Servers returns the servers of a service that may be given work.
+	Self     dragonflypass.VMID
+	Timer    dragonflypass.Timer
+	Meter    dragonflypass.Meter
+	Logger   dragonflypass.Logger
+	Assessor *assessor.Assessor
+	// Law returns the law of the service's engines, nil when it is not known.
+	Law func(service dragonflypass.ServiceID) *dragonflypass.EngineLaw
+	// Servers returns the servers of the service that may be given work.
 	Servers func(service dragonflypass.ServiceID) []dragonflypass.ServerEntry
 
 	mutex   locker.Mutex
-	permits map[dragonflypass.StreamID]dragonflypass.ServerID
-	counts  map[dragonflypass.ServerID]int
+	cells   map[dragonflypass.ServiceID]*cell
+	permits map[dragonflypass.StreamID]*permit
+}
+
+var _ dragonflypass.Owner = (*Allocator)(nil)
+
+// permit is a granted permit.
+type permit struct {
+	request dragonflypass.PermitRequest
+	cell    *cell
+	server  *server
+	helpers []*server
+	parts   int
+	// tokens is the memory that the permit counts for.
+	tokens  int
+	granted time.Time
+	// first is the predicted instant of the first token.
+	first time.Time
+	// prefilled is set once the prompt is known to be processed.
+	prefilled bool
+	heard     time.Time
+}
+
+// waiting is a request without a permit.
+type waiting struct {
+	request dragonflypass.PermitRequest
+	since   time.Time
+	told    func(dragonflypass.Permit, error)
+	// reading is the time for the whole prompt on one server.
+	reading time.Duration
 }
 
 // New returns an allocator that has granted nothing.
 func New() *Allocator {
 	return &Allocator{
 		mutex:   locker.Mutex{Order: locker.Servers},
-		permits: make(map[dragonflypass.StreamID]dragonflypass.ServerID),
-		counts:  make(map[dragonflypass.ServerID]int),
+		cells:   make(map[dragonflypass.ServiceID]*cell),
+		permits: make(map[dragonflypass.StreamID]*permit),
+	}
+}
+
+// Run looks after waiting requests and permits until ctx ends.
+func (a *Allocator) Run(ctx context.Context) {
+	stop := a.Timer.Every(dragonflypass.JobSweep, sweepEvery, a.Sweep)
+	defer stop()
+	<-ctx.Done()
+}
+
+// told is an answer to a request, given outside all locks.
+type told struct {
+	waiting *waiting
+	permit  dragonflypass.Permit
+	err     error
+}
+
+func tell(answers []told) {
+	for _, t := range answers {
+		t.waiting.told(t.permit, t.err)
 	}
 }
 
-// Acquire waits for a permit.
-func (a *Allocator) Acquire(_ context.Context, request dragonflypass.PermitRequest) (dragonflypass.Permit, error) {
+// Ask queues a request for a permit; told is called once unless withdraw is called before.
+func (a *Allocator) Ask(request dragonflypass.PermitRequest, told func(dragonflypass.Permit, error)) (withdraw func()) {
+	now := a.Timer.Now()
+	w := &waiting{request: request, since: now, told: told}
+	a.mutex.Lock()
+	c := a.cell(request.Service)
+	if c == nil {
+		a.mutex.Unlock()
+		told(dragonflypass.Permit{}, dragonflypass.Refuse(dragonflypass.ReasonNoServer, soonRetry, "service %s has no known engine", request.Service))
+		return func() {}
+	}
+	w.reading = c.law.Reading(request.PromptTokens)
+	c.waiting = append(c.waiting, w)
+	answers := a.dispatch(c, now)
+	a.mutex.Unlock()
+	tell(answers)
+	return func() { a.withdraw(c, w) }
+}
+
+func (a *Allocator) withdraw(c *cell, w *waiting) {
 	a.mutex.Lock()
 	defer a.mutex.Unlock()
-	var best dragonflypass.ServerEntry
-	for _, entry := range a.Servers(request.Service) {
-		if slices.Contains(request.Exclude, entry.ID) {
-			continue
-		}
-		if best.ID == "" || a.counts[entry.ID] < a.counts[best.ID] {
-			best = entry
-		}
+	c.remove(w)
+}
+
+// Prefilled notes that the permit's prompt has been processed.
+func (a *Allocator) Prefilled(stream dragonflypass.StreamID) {
+	now := a.Timer.Now()
+	a.mutex.Lock()
+	p, ok := a.permits[stream]
+	if !ok || p.prefilled {
+		a.mutex.Unlock()
+		return
 	}
-	if best.ID == "" {
-		return dragonflypass.Permit{}, dragonflypass.Refuse(dragonflypass.ReasonNoServer, time.Second/5, "no server of the service is known")
+	p.prefilled = true
+	at := now.Add(-transit)
+	for _, s := range p.servers() {
+		s.engine.Advance(at)
+		s.engine.Done(stream)
 	}
-	a.counts[best.ID]++
-	a.permits[request.Stream] = best.ID
-	return dragonflypass.Permit{Stream: request.Stream, Owner: a.Self, Server: best.ID, Address: best.Address, Priority: -1, First: 2 * time.Second}, nil
+	p.server.engine.Boundary(at)
+	p.server.engine.Write(p.writer(at), now)
+	answers := a.dispatch(p.cell, now)
+	a.mutex.Unlock()
+	tell(answers)
 }
 
-// Prefilled notes that the permit's prompt has been processed.
-func (a *Allocator) Prefilled(dragonflypass.Permit) {}
+// Release takes a permit back; a second release of the same stream changes nothing.
+func (a *Allocator) Release(release dragonflypass.PermitRelease) {
+	now := a.Timer.Now()
+	a.mutex.Lock()
+	p, ok := a.permits[release.Stream]
+	if !ok {
+		a.mutex.Unlock()
+		return
+	}
+	a.drop(p, now)
+	if release.Outcome == dragonflypass.OutcomeDone {
+		p.server.engine.Boundary(now.Add(-transit))
+	}
+	answers := a.dispatch(p.cell, now)
+	a.mutex.Unlock()
+	a.judge(release)
+	tell(answers)
+}
+
+// judge notes what the end of a permit tells of its servers.
+func (a *Allocator) judge(release dragonflypass.PermitRelease) {
+	switch {
+	case release.Culprit != "":
+		a.Assessor.Note(release.Culprit, assessor.Failed)
+	case release.Outcome == dragonflypass.OutcomeLost, release.Outcome == dragonflypass.OutcomeUnsent:
+		a.Assessor.Note(release.Server, assessor.Failed)
+	case release.Outcome == dragonflypass.OutcomeDone:
+		a.Assessor.Note(release.Server, assessor.Answered)
+	}
+}
+
+// drop takes the permit out of all tables; it is called with the mutex held.
+func (a *Allocator) drop(p *permit, now time.Time) {
+	delete(a.permits, p.request.Stream)
+	for _, s := range p.servers() {
+		s.engine.Advance(now)
+		s.engine.Drop(p.request.Stream)
+	}
+	p.server.reserved -= p.tokens
+	p.server.streams--
+}
+
+// Recheck refuses the waiting requests whose service has no server left.
+func (a *Allocator) Recheck() {
+	now := a.Timer.Now()
+	a.mutex.Lock()
+	var answers []told
+	for _, c := range a.cells {
+		a.refresh(c)
+		answers = append(answers, a.dispatch(c, now)...)
+	}
+	a.mutex.Unlock()
+	tell(answers)
+}
 
-// Release returns the permit.
-func (a *Allocator) Release(permit dragonflypass.Permit, _ dragonflypass.PermitRelease) {
+// Sweep takes back permits that lapsed and grants what can no longer wait.
+func (a *Allocator) Sweep(context.Context) {
+	now := a.Timer.Now()
+	a.mutex.Lock()
+	for _, p := range a.permits {
+		if now.Sub(p.heard) > leaseTime || now.After(p.request.Deadline.Add(leaseTime)) {
+			a.drop(p, now)
+			a.Meter.Add(dragonflypass.CountPermitExpired, 1)
+		}
+	}
+	var answers []told
+	for _, c := range a.cells {
+		if len(c.waiting) > 0 {
+			answers = append(answers, a.dispatch(c, now)...)
+		}
+	}
+	a.mutex.Unlock()
+	tell(answers)
+}
+
+// Heard notes the streams that an entry VM has open.
+func (a *Allocator) Heard(beat dragonflypass.Heartbeat) {
+	now := a.Timer.Now()
 	a.mutex.Lock()
 	defer a.mutex.Unlock()
-	if server, ok := a.permits[permit.Stream]; ok {
-		delete(a.permits, permit.Stream)
-		a.counts[server]--
+	for _, sequence := range beat.Kept {
+		id := dragonflypass.StreamID{VM: beat.From.ID, Incarnation: beat.Incarnation, Sequence: sequence}
+		if p, ok := a.permits[id]; ok {
+			p.heard = now
+		}
 	}
+	for _, held := range beat.Held {
+		a.adopt(held, now)
+	}
+}
+
+// adopt takes over a stream that another owner granted; it is called with the mutex held.
+func (a *Allocator) adopt(held dragonflypass.HeldStream, now time.Time) {
+	if p, ok := a.permits[held.Stream]; ok {
+		p.heard = now
+		return
+	}
+	c := a.cell(held.Service)
+	if c == nil || c.servers[held.Server] == nil {
+		return
+	}
+	p := &permit{
+		cell: c, server: c.servers[held.Server], parts: 1 + len(held.Helpers), tokens: held.Prompt + c.law.Answer,
+		granted: now, first: now, prefilled: held.Prefilled, heard: now,
+		request: dragonflypass.PermitRequest{
+			Stream: held.Stream, Service: held.Service, PromptTokens: held.Prompt, Pause: held.Pause, Deadline: held.Deadline,
+			Account: held.Account, Fingerprint: held.Fingerprint,
+		},
+	}
+	for _, id := range held.Helpers {
+		if s := c.servers[id]; s != nil {
+			p.helpers = append(p.helpers, s)
+		}
+	}
+	a.permits[held.Stream] = p
+	a.place(p, now)
+}
+
+// place counts the permit at its servers; it is called with the mutex held.
+func (a *Allocator) place(p *permit, arrival time.Time) {
+	p.server.reserved += p.tokens
+	p.server.streams++
+	if !p.prefilled {
+		for i, s := range p.servers() {
+			s.engine.Add(predictor.Part(p.request.Stream, p.request.PromptTokens, p.parts, i > 0), arrival)
+		}
+	}
+	p.server.engine.Write(p.writer(p.first), arrival)
+}
+
+// servers returns the permit's server and its helpers.
+func (p *permit) servers() []*server { return append([]*server{p.server}, p.helpers...) }
+
+// writer is the permit's stream once it generates.
+func (p *permit) writer(from time.Time) predictor.Writer {
+	return predictor.Writer{Stream: p.request.Stream, Context: p.tokens, Pause: p.request.Pause, From: from}
 }
--- /dev/null
+++ b/core/assessor/doc.go
@@ -0,0 +1,3 @@
+// Package assessor judges backend servers by how requests to them end, and
+// tells which ones are to be left out for a time.
+package assessor
--- a/core/balancer/balancer.go
+++ b/core/balancer/balancer.go
@@ -6,43 +6,30 @@
 	"time"
 
 	"github.com/dragonflypass/dragonflypass"
+	"github.com/dragonflypass/dragonflypass/core/assessor"
 	"github.com/dragonflypass/dragonflypass/core/locker"
 )
 
 const (
-	// failLimit is the number of failures in a row after which a server is left out.
-	failLimit = 2
-	// firstOut is how long a server is left out at first; the time doubles with each further failure.
-	firstOut = 500 * time.Millisecond
-	// longestOut bounds the time for which a server is left out.
-	longestOut = 8 * time.Second
 	// loadTime is how long what a server said of its load counts.
 	loadTime = 200 * time.Millisecond
+	// rowLimit is the number of servers that are remembered before unused ones are dropped.
+	rowLimit = 256
 	// forgetTime is how long an unused server is remembered.
 	forgetTime = time.Minute
-)
-
-// Outcome is how a request at a server ended, as far as it tells of the server.
-type Outcome uint8
-
-// The outcomes.
-const (
-	// Answered means that the server's own answer came, whatever it was.
-	Answered Outcome = iota
-	// Failed means that the server could not be reached, broke off or did not answer in time.
-	Failed
-	// Declined means that the server stated that it did not run the request.
-	Declined
-	// Unjudged means that the end tells nothing of the server, as when the caller went away.
-	Unjudged
+	// tieCost is the largest random part of a server's cost, in requests, so that VMs do not all choose the same one.
+	tieCost = 0.2
+	// zoneCost is added, in requests, for a server of another zone.
+	zoneCost = 0.3
+	// outCost is added, in requests, for a server that is left out, so that it is chosen only where there is no other.
+	outCost = 1000
 )
 
 // Balancer keeps the table of what the servers were sent.
 type Balancer struct {
-	Zone   dragonflypass.AvailabilityZone
-	Timer  dragonflypass.Timer
-	Meter  dragonflypass.Meter
-	Logger dragonflypass.Logger
+	Zone     dragonflypass.AvailabilityZone
+	Timer    dragonflypass.Timer
+	Assessor *assessor.Assessor
 
 	mutex   locker.Mutex
 	servers map[dragonflypass.ServerID]*server
@@ -50,19 +37,14 @@
 
 type server struct {
 	// sent is the number of requests under way.
-	sent  int
-	fails int
-	// out is the instant up to which the server is left out.
-	out time.Time
-	// trying is set while one request tries a server whose time out has passed.
-	trying bool
+	sent int
 	// reported is the number of requests that the server said to have beside those sent from here.
 	reported int
 	heard    time.Time
 	used     time.Time
 }
 
-// New returns a balancer to which all servers are sound.
+// New returns a balancer that has sent nothing.
 func New() *Balancer {
 	return &Balancer{mutex: locker.Mutex{Order: locker.Servers}, servers: make(map[dragonflypass.ServerID]*server)}
 }
@@ -73,12 +55,12 @@
 	b.mutex.Lock()
 	defer b.mutex.Unlock()
 	var lowest float64
-	for _, entry := range entries {
-		if slices.Contains(exclude, entry.ID) {
+	for i := range entries {
+		if slices.Contains(exclude, entries[i].ID) {
 			continue
 		}
-		if cost := b.cost(&entry, now); !ok || cost < lowest {
-			best, lowest, ok = entry, cost, true
+		if cost := b.cost(&entries[i], now); !ok || cost < lowest {
+			best, lowest, ok = entries[i], cost, true
 		}
 	}
 	if !ok {
@@ -87,18 +69,18 @@
 	s := b.server(best.ID)
 	s.sent++
 	s.used = now
-	s.trying = s.trying || (s.fails >= failLimit && !now.Before(s.out))
+	b.Assessor.Chosen(best.ID)
 	return best, true
 }
 
-// outCost is added to the cost of a server that is left out, so that it is chosen only where there is no other.
-const outCost = 1000
-
-// cost is the number of requests before a further one, with a part that breaks ties; it is called with the mutex held.
+// cost is the number of requests before a further one, with parts that break ties; it is called with the mutex held.
 func (b *Balancer) cost(entry *dragonflypass.ServerEntry, now time.Time) float64 {
-	cost := 0.2 * rand.Float64()
+	cost := tieCost * rand.Float64()
 	if entry.Zone != b.Zone {
-		cost += 0.3
+		cost += zoneCost
+	}
+	if !b.Assessor.Sound(entry.ID) {
+		cost += outCost
 	}
 	s, ok := b.servers[entry.ID]
 	if !ok {
@@ -108,9 +90,6 @@
 	if now.Sub(s.heard) < loadTime {
 		cost += float64(s.reported)
 	}
-	if now.Before(s.out) || s.trying {
-		cost += outCost
-	}
 	return cost
 }
 
@@ -118,6 +97,7 @@
 func (b *Balancer) server(id dragonflypass.ServerID) *server {
 	s, ok := b.servers[id]
 	if !ok {
+		b.forget()
 		s = &server{}
 		b.servers[id] = s
 	}
@@ -125,41 +105,26 @@
 }
 
 // Done notes the end of a request at the server; load is what the server said of itself, nil for nothing.
-func (b *Balancer) Done(id dragonflypass.ServerID, outcome Outcome, load *dragonflypass.LoadReport) {
+func (b *Balancer) Done(id dragonflypass.ServerID, outcome assessor.Outcome, load *dragonflypass.LoadReport) {
+	b.Assessor.Note(id, outcome)
 	now := b.Timer.Now()
 	b.mutex.Lock()
+	defer b.mutex.Unlock()
 	s := b.server(id)
 	s.sent = max(0, s.sent-1)
-	s.trying = false
 	if load != nil {
+		// The report counts the request that it came with.
 		s.reported = max(0, load.Running+load.Waiting-s.sent-1)
 		s.heard = now
 	}
-	out := time.Duration(0)
-	switch outcome {
-	case Answered:
-		s.fails = 0
-	case Failed:
-		s.fails++
-		if s.fails >= failLimit {
-			out = min(longestOut, firstOut<<min(s.fails-failLimit, 8))
-			s.out = now.Add(out)
-		}
-	}
-	b.forget(now)
-	b.mutex.Unlock()
-	if out > 0 {
-		b.Meter.Add(dragonflypass.CountServerLeftOut, 1)
-		b.Logger.Info("backend server left out", "server", id, "span", out)
-	}
 }
 
 // forget drops servers that were not used for long; it is called with the mutex held.
-func (b *Balancer) forget(now time.Time) {
-	const enough = 64
-	if len(b.servers) < enough {
+func (b *Balancer) forget() {
+	if len(b.servers) < rowLimit {
 		return
 	}
+	now := b.Timer.Now()
 	for id, s := range b.servers {
 		if s.sent == 0 && now.Sub(s.used) > forgetTime {
 			delete(b.servers, id)
--- a/core/composer/relay.go
+++ b/core/composer/relay.go
@@ -2,13 +2,19 @@
 
 import (
 	"context"
+	"net/netip"
 	"sync"
 	"time"
 
 	"github.com/dragonflypass/dragonflypass"
+	"github.com/dragonflypass/dragonflypass/core/acquirer"
 	"github.com/dragonflypass/dragonflypass/core/allocator"
+	"github.com/dragonflypass/dragonflypass/core/assessor"
 	"github.com/dragonflypass/dragonflypass/core/balancer"
+	"github.com/dragonflypass/dragonflypass/core/detector"
 	"github.com/dragonflypass/dragonflypass/core/follower"
+	"github.com/dragonflypass/dragonflypass/core/handler"
+	"github.com/dragonflypass/dragonflypass/core/quarantiner"
 	"github.com/dragonflypass/dragonflypass/core/registrar"
 	"github.com/dragonflypass/dragonflypass/core/relayer"
 	"github.com/dragonflypass/dragonflypass/core/retrier"
@@ -22,14 +28,20 @@
 	Store   dragonflypass.Store
 	Backend dragonflypass.Backend
 	Peers   dragonflypass.Peers
-	Meter   dragonflypass.Meter
-	Logger  dragonflypass.Logger
+	// Directory lists the entry VMs in the store.
+	Directory dragonflypass.Directory
+	Meter     dragonflypass.Meter
+	Logger    dragonflypass.Logger
 }
 
 // RelayOptions are the identity and limits of a node that relays exchanges.
 type RelayOptions struct {
 	Self        dragonflypass.VM
 	Incarnation uint64
+	// Seeds are addresses at which other entry VMs may be found.
+	Seeds []netip.AddrPort
+	// Heartbeat is the shortest time between two heartbeats to one VM.
+	Heartbeat time.Duration
 	// Revoke is the time after which no request with a key that was taken away may run.
 	Revoke time.Duration
 	// Apply is the time in which a new route table must be in force.
@@ -40,14 +52,18 @@
 type Relay struct {
 	Options   RelayOptions
 	Ports     RelayPorts
+	Detector  *detector.Detector
 	Routing   *follower.Follower
 	Registry  *follower.Follower
 	Router    *router.Router
 	Registrar *registrar.Registrar
+	Assessor  *assessor.Assessor
 	Balancer  *balancer.Balancer
 	Allocator *allocator.Allocator
+	Acquirer  *acquirer.Acquirer
 	Relayer   *relayer.Relayer
 	Retrier   *retrier.Retrier
+	Guard     *quarantiner.Quarantiner
 }
 
 const (
@@ -58,47 +74,128 @@
 	registryPeriod = 700 * time.Millisecond
 	// patience is the age of the newest proof from which a VM reads the store by itself.
 	patience = 1500 * time.Millisecond
+	// topicReaders is the number of VMs that read a topic for the others, so that the loss of one is not felt.
+	topicReaders = 2
+	// listPeriod is the time between two readings of the list of entry VMs, which tell each other of themselves.
+	listPeriod = 20 * time.Second
 )
 
 // ComposeRelay builds a node that relays exchanges; nothing runs before Run.
 func ComposeRelay(options RelayOptions, ports RelayPorts) *Relay {
-	n := &Relay{Options: options, Ports: ports, Retrier: retrier.New()}
+	n := &Relay{Options: options, Ports: ports, Retrier: retrier.New(), Guard: quarantiner.New()}
+	n.Guard.Timer, n.Guard.Meter, n.Guard.Logger = ports.Timer, ports.Meter, ports.Logger
+	n.composeMembers()
+	n.composeTopics()
+	n.composeServers()
+	n.composeRelayer()
+	return n
+}
+
+func (n *Relay) composeMembers() {
+	o, p := n.Options, n.Ports
+	d := detector.New()
+	d.Self, d.Incarnation, d.Contacts = o.Self, o.Incarnation, o.Seeds
+	d.Timer, d.Pool, d.Peers, d.Directory = p.Timer, p.Pool, p.Peers, p.Directory
+	d.Meter, d.Logger = p.Meter, p.Logger
+	d.Interval, d.List = o.Heartbeat, listPeriod
+	d.Config = func() dragonflypass.Offset { return 0 }
+	d.Loads = func() []dragonflypass.ServerLoad { return nil }
+	d.Held = func(owner dragonflypass.VMID) ([]uint64, []dragonflypass.HeldStream) { return n.Relayer.Held(owner) }
+	d.Received = func(beat dragonflypass.Heartbeat) { n.Allocator.Heard(beat) }
+	d.Marks = func() []dragonflypass.Mark { return []dragonflypass.Mark{n.Routing.Mark(), n.Registry.Mark()} }
+	d.Answer = n.answer
+	d.Synced = n.synced
+	n.Detector = d
+}
+
+func (n *Relay) composeTopics() {
+	o, p := n.Options, n.Ports
 	n.Routing = n.follow(dragonflypass.TopicRouting, dragonflypass.JobRouting, sameTable)
 	n.Routing.Period, n.Routing.Wait = routingPeriod, routingWait
 	n.Registry = n.follow(dragonflypass.TopicServers, dragonflypass.JobRegistry, sameServer)
 	n.Registry.Period = registryPeriod
 
-	r := &router.Router{Timer: ports.Timer, Meter: ports.Meter, Logger: ports.Logger, Proved: n.Routing.Proved}
-	r.Revoke, r.Apply = options.Revoke, options.Apply
-	n.Routing.Subscribe(r.Take)
+	r := &router.Router{Timer: p.Timer, Meter: p.Meter, Logger: p.Logger, Proved: n.Routing.Proved}
+	r.Revoke, r.Apply = o.Revoke, o.Apply
 	n.Router = r
 
 	g := registrar.New()
-	g.Timer, g.Logger, g.Returned, g.Changed = ports.Timer, ports.Logger, n.Registry.Returned, func() {}
-	n.Registry.Subscribe(g.Take)
+	g.Timer, g.Logger, g.Returned = p.Timer, p.Logger, n.Registry.Returned
 	n.Registrar = g
+	for f, take := range map[*follower.Follower]func([]dragonflypass.Update){n.Routing: r.Take, n.Registry: g.Take} {
+		f.Subscribe(take)
+		f.Subscribe(func([]dragonflypass.Update) { n.Detector.Tell() })
+	}
+}
+
+func (n *Relay) composeServers() {
+	o, p := n.Options, n.Ports
+	n.Assessor = assessor.New()
+	n.Assessor.Timer, n.Assessor.Meter, n.Assessor.Logger = p.Timer, p.Meter, p.Logger
 
 	b := balancer.New()
-	b.Zone, b.Timer, b.Meter, b.Logger = options.Self.Zone, ports.Timer, ports.Meter, ports.Logger
+	b.Zone, b.Timer, b.Assessor = o.Self.Zone, p.Timer, n.Assessor
 	n.Balancer = b
 
 	a := allocator.New()
-	a.Self, a.Timer, a.Meter, a.Logger, a.Servers = options.Self.ID, ports.Timer, ports.Meter, ports.Logger, g.Servers
+	a.Self, a.Timer, a.Meter, a.Logger, a.Assessor = o.Self.ID, p.Timer, p.Meter, p.Logger, n.Assessor
+	a.Law, a.Servers = n.law, n.Registrar.Servers
 	n.Allocator = a
+	n.Registrar.Changed = a.Recheck
+
+	q := &acquirer.Acquirer{Self: o.Self.ID, Timer: p.Timer, Pool: p.Pool, Peers: p.Peers, Members: n.Detector, Meter: p.Meter, Logger: p.Logger}
+	q.Local, q.Owner = a, n.owner
+	n.Acquirer = q
+}
 
+func (n *Relay) composeRelayer() {
+	o, p := n.Options, n.Ports
 	l := relayer.New()
-	l.Self, l.Incarnation, l.Timer, l.Backend = options.Self, options.Incarnation, ports.Timer, ports.Backend
-	l.Meter, l.Logger, l.Router, l.Directory, l.Balancer = ports.Meter, ports.Logger, r, g, b
-	l.Permits, l.Retrier = a, n.Retrier
+	l.Self, l.Incarnation, l.Timer, l.Backend = o.Self, o.Incarnation, p.Timer, p.Backend
+	l.Meter, l.Logger, l.Router, l.Directory, l.Balancer = p.Meter, p.Logger, n.Router, n.Registrar, n.Balancer
+	l.Permits, l.Retrier, l.Leaving = n.Acquirer, n.Retrier, n.Detector.Leaving
+	l.Owner = func(service dragonflypass.ServiceID) dragonflypass.VMID { return n.owner(service).ID }
+	l.Heard = n.Allocator.Heard
 	n.Relayer = l
-	return n
+}
+
+// owner returns the VM that owns the servers of the service: the winner of rendezvous hashing among the live VMs.
+func (n *Relay) owner(service dragonflypass.ServiceID) dragonflypass.VM {
+	if vm, ok := detector.Winner(string(service), n.Detector.Live()); ok {
+		return vm
+	}
+	return n.Options.Self
+}
+
+// answer returns this VM's marks with what a VM with the other marks lacks.
+func (n *Relay) answer(others []dragonflypass.Mark) []dragonflypass.Mark {
+	marks := make([]dragonflypass.Mark, 0, len(others))
+	for _, f := range []*follower.Follower{n.Routing, n.Registry} {
+		for _, other := range others {
+			if other.Topic == f.Topic {
+				marks = append(marks, f.Answer(other))
+			}
+		}
+	}
+	return marks
+}
+
+// synced takes the marks of an answer to a heartbeat that was sent at the uptime.
+func (n *Relay) synced(asked time.Duration, beat dragonflypass.Heartbeat) {
+	for _, f := range []*follower.Follower{n.Routing, n.Registry} {
+		for _, mark := range beat.Marks {
+			if mark.Topic == f.Topic {
+				f.Heard(asked, mark, beat.From.ID)
+			}
+		}
+	}
 }
 
 func (n *Relay) follow(topic dragonflypass.Topic, kind dragonflypass.JobKind, same func(a, b dragonflypass.Update) bool) *follower.Follower {
 	f := follower.New(topic, kind)
 	f.Timer, f.Store, f.Meter, f.Logger = n.Ports.Timer, n.Ports.Store, n.Ports.Meter, n.Ports.Logger
 	f.Patience, f.Same = patience, same
-	f.Leads = func() bool { return true }
+	f.Leads = func() bool { return detector.Leads(string(topic), n.Options.Self.ID, n.Detector.Live(), topicReaders) }
 	return f
 }
 
@@ -116,16 +213,30 @@
 	return a == b
 }
 
+// law returns the law of the service's engines, nil when it is not known.
+func (n *Relay) law(service dragonflypass.ServiceID) *dragonflypass.EngineLaw {
+	table := n.Router.Current()
+	if table == nil || table.Services[service] == nil {
+		return nil
+	}
+	return table.Services[service].Engine
+}
+
 // Run runs the parts until ctx ends; the pool and the timer service must be running.
 func (n *Relay) Run(ctx context.Context) {
 	var parts sync.WaitGroup
-	for _, run := range []func(context.Context){n.Routing.Run, n.Registry.Run, n.Registrar.Run, n.Relayer.Run} {
+	for _, run := range []func(context.Context){n.Detector.Run, n.Routing.Run, n.Registry.Run, n.Registrar.Run, n.Allocator.Run, n.Relayer.Run} {
 		parts.Go(func() { run(ctx) })
 	}
 	parts.Wait()
 }
 
+// Handler answers the other entry VMs.
+func (n *Relay) Handler() dragonflypass.PeerHandler {
+	return &handler.Handler{Owner: n.Allocator, Detector: n.Detector, Guard: n.Guard}
+}
+
 // Ready reports whether the node can serve.
 func (n *Relay) Ready() bool {
-	return n.Router.Trusted() && n.Registry.Known()
+	return !n.Detector.Leaving() && n.Router.Trusted() && n.Registry.Known()
 }
--- a/core/detector/detector.go
+++ b/core/detector/detector.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net/netip"
 	"slices"
 	"strings"
 	"time"
@@ -28,12 +29,14 @@
 	Self        dragonflypass.VM
 	Incarnation uint64
 	Seeds       []dragonflypass.VM
-	Timer       dragonflypass.Timer
-	Pool        dragonflypass.Pool
-	Peers       dragonflypass.Peers
-	Directory   dragonflypass.Directory
-	Meter       dragonflypass.Meter
-	Logger      dragonflypass.Logger
+	// Contacts are addresses at which other entry VMs may be found.
+	Contacts  []netip.AddrPort
+	Timer     dragonflypass.Timer
+	Pool      dragonflypass.Pool
+	Peers     dragonflypass.Peers
+	Directory dragonflypass.Directory
+	Meter     dragonflypass.Meter
+	Logger    dragonflypass.Logger
 	// Interval is the shortest time between two heartbeats to one VM.
 	Interval time.Duration
 	// List is the time between two readings of the platform's list of VMs.
@@ -46,6 +49,12 @@
 	Held func(owner dragonflypass.VMID) (kept []uint64, held []dragonflypass.HeldStream)
 	// Received is called with each heartbeat from another VM, outside all locks.
 	Received func(dragonflypass.Heartbeat)
+	// Marks returns how far this VM has read the platform's topics.
+	Marks func() []dragonflypass.Mark
+	// Answer returns this VM's marks with what a VM with the other marks lacks.
+	Answer func([]dragonflypass.Mark) []dragonflypass.Mark
+	// Synced is called with the answer to a heartbeat that was sent at the uptime, outside all locks.
+	Synced func(asked time.Duration, answer dragonflypass.Heartbeat)
 
 	mutex     locker.Mutex
 	members   map[dragonflypass.VMID]*member
@@ -78,6 +87,9 @@
 // New returns a detector that knows no other VM.
 func New() *Detector {
 	return &Detector{
+		Marks:   func() []dragonflypass.Mark { return nil },
+		Answer:  func([]dragonflypass.Mark) []dragonflypass.Mark { return nil },
+		Synced:  func(time.Duration, dragonflypass.Heartbeat) {},
 		mutex:   locker.Mutex{Order: locker.Members},
 		members: make(map[dragonflypass.VMID]*member),
 	}
@@ -97,6 +109,9 @@
 	defer stopBeat()
 	stopList := d.Timer.Every(dragonflypass.JobMembers, d.List, d.readList)
 	defer stopList()
+	stopContact := d.Timer.Every(dragonflypass.JobMembers, d.Interval, d.contactAll)
+	defer stopContact()
+	d.contactAll(ctx)
 	d.readList(ctx)
 	<-ctx.Done()
 }
@@ -177,6 +192,22 @@
 	return changed
 }
 
+// contactAll sends a heartbeat to each contact that no known VM is at.
+func (d *Detector) contactAll(context.Context) {
+	known := make(map[netip.AddrPort]bool)
+	d.mutex.Lock()
+	for _, m := range d.members {
+		known[m.VM.Peer] = true
+	}
+	d.mutex.Unlock()
+	for _, address := range d.Contacts {
+		if known[address] || address == d.Self.Peer {
+			continue
+		}
+		d.Pool.Submit(dragonflypass.JobHeartbeat, func(ctx context.Context) { d.exchange(ctx, dragonflypass.VM{Peer: address}) })
+	}
+}
+
 // Leave marks this VM as leaving and tells its neighbours at once.
 func (d *Detector) Leave(ctx context.Context) {
 	d.mutex.Lock()
@@ -261,6 +292,20 @@
 	return ctx, func() { cancel(context.Canceled) }
 }
 
+// Member returns what is known of the VM, this one included.
+func (d *Detector) Member(id dragonflypass.VMID) (dragonflypass.VM, bool) {
+	if id == d.Self.ID {
+		return d.Self, true
+	}
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	m, ok := d.members[id]
+	if !ok {
+		return dragonflypass.VM{}, false
+	}
+	return m.VM, true
+}
+
 // Live returns the VMs that may be given work, this one included unless it is leaving.
 func (d *Detector) Live() []dragonflypass.VM {
 	d.mutex.Lock()
--- a/core/detector/exchange.go
+++ b/core/detector/exchange.go
@@ -119,12 +119,16 @@
 	ctx, cancel := d.Timer.WithDeadline(ctx, d.Timer.Now().Add(d.Interval))
 	defer cancel()
 	d.Meter.Add(dragonflypass.CountHeartbeatSent, 1)
-	beat, err := d.Peers.Exchange(ctx, vm, d.beat(vm.ID))
+	own := d.beat(vm.ID)
+	own.Marks = d.Marks()
+	asked := d.Timer.Uptime()
+	beat, err := d.Peers.Exchange(ctx, vm, own)
 	if err != nil {
 		d.Meter.Add(dragonflypass.CountHeartbeatFailed, 1)
 		return
 	}
 	d.take(beat)
+	d.Synced(asked, beat)
 }
 
 func (d *Detector) settle(id dragonflypass.VMID) {
@@ -162,7 +166,39 @@
 func (d *Detector) Exchange(beat dragonflypass.Heartbeat) dragonflypass.Heartbeat {
 	d.take(beat)
 	d.contact(beat.From.ID)
-	return d.beat(beat.From.ID)
+	own := d.beat(beat.From.ID)
+	own.Marks = d.Answer(beat.Marks)
+	if ahead(beat.Marks, own.Marks) {
+		d.Pool.Submit(dragonflypass.JobHeartbeat, func(ctx context.Context) { d.exchange(ctx, beat.From) })
+	}
+	return own
+}
+
+// ahead reports whether the other VM has read a topic further.
+func ahead(other, own []dragonflypass.Mark) bool {
+	for _, theirs := range other {
+		for _, mine := range own {
+			if theirs.Topic == mine.Topic && theirs.Known && (!mine.Known || theirs.End > mine.End) {
+				return true
+			}
+		}
+	}
+	return false
+}
+
+// Tell sends a heartbeat to each neighbour at once, as after news of a topic.
+func (d *Detector) Tell() {
+	d.mutex.Lock()
+	var vms []dragonflypass.VM
+	for _, m := range d.neighbours() {
+		if m.State == dragonflypass.MemberLive {
+			vms = append(vms, m.VM)
+		}
+	}
+	d.mutex.Unlock()
+	for _, vm := range vms {
+		d.Pool.Submit(dragonflypass.JobHeartbeat, func(ctx context.Context) { d.exchange(ctx, vm) })
+	}
 }
 
 // contact notes that the VM has this one's news, so that one exchange in each interval serves both.
@@ -183,7 +219,9 @@
 		m.listed = false
 		d.members[beat.From.ID] = m
 	}
-	if beat.Incarnation < m.Incarnation || beat.From.ID == d.Self.ID {
+	// A silent VM may have started anew with its time of day set back.
+	silent := m.State == dragonflypass.MemberSuspect || m.State == dragonflypass.MemberGone
+	if (beat.Incarnation < m.Incarnation && !silent) || beat.From.ID == d.Self.ID {
 		d.mutex.Unlock()
 		return
 	}
--- a/core/detector/owner.go
+++ b/core/detector/owner.go
@@ -6,23 +6,40 @@
 	"github.com/dragonflypass/dragonflypass"
 )
 
+// Winner returns the VM that wins rendezvous hashing for the key.
+func Winner(key string, live []dragonflypass.VM) (dragonflypass.VM, bool) {
+	return winner(key, live, func(dragonflypass.VM) bool { return true })
+}
+
+// Leads reports whether the VM is among the first few that rendezvous hashing gives the key.
+func Leads(key string, id dragonflypass.VMID, live []dragonflypass.VM, few int) bool {
+	own := Score(key, id)
+	before := 0
+	for _, vm := range live {
+		if vm.ID != id && Score(key, vm.ID) > own {
+			before++
+		}
+	}
+	return before < few
+}
+
 // Owner returns the VM that owns the backend server: the winner of rendezvous
 // hashing among the live VMs of its zone, or of all zones where its own has none.
 func Owner(server *dragonflypass.BackendServer, live []dragonflypass.VM) (dragonflypass.VM, bool) {
-	owner, ok := winner(server.ID, live, func(vm dragonflypass.VM) bool { return vm.Zone == server.Zone })
+	owner, ok := winner(string(server.ID), live, func(vm dragonflypass.VM) bool { return vm.Zone == server.Zone })
 	if ok {
 		return owner, true
 	}
-	return winner(server.ID, live, func(dragonflypass.VM) bool { return true })
+	return Winner(string(server.ID), live)
 }
 
-func winner(server dragonflypass.ServerID, live []dragonflypass.VM, eligible func(dragonflypass.VM) bool) (best dragonflypass.VM, found bool) {
+func winner(key string, live []dragonflypass.VM, eligible func(dragonflypass.VM) bool) (best dragonflypass.VM, found bool) {
 	var highest uint64
 	for _, vm := range live {
 		if !eligible(vm) {
 			continue
 		}
-		s := Score(string(server), vm.ID)
+		s := Score(key, vm.ID)
 		if !found || s > highest || (s == highest && vm.ID < best.ID) {
 			best, highest, found = vm, s, true
 		}
--- a/core/follower/follower.go
+++ b/core/follower/follower.go
@@ -44,7 +44,7 @@
 	// forgotten is the offset before which dropped keys are no longer known.
 	forgotten dragonflypass.Offset
 	end       dragonflypass.Offset
-	known   bool
+	known     bool
 	// proved is the uptime at which the read that proved the copy current began.
 	proved time.Duration
 	// returned is the uptime at which a proof came after the store had been away.
--- /dev/null
+++ b/core/predictor/engine.go
@@ -0,0 +1,236 @@
+package predictor
+
+import (
+	"slices"
+	"time"
+
+	"github.com/dragonflypass/dragonflypass"
+)
+
+// pairsUnit is the number of token pairs that an EngineLaw's PairTime is for.
+const pairsUnit = 1e6
+
+// Read is a prompt, or a part of one, that waits to be processed.
+type Read struct {
+	Stream dragonflypass.StreamID
+	// Tokens is the length of the whole prompt, and Parts the number of even parts it is processed in.
+	Tokens int
+	Parts  int
+	// Helped is set for a part at a server that only helps; such parts go before others.
+	Helped bool
+	// done is the number of tokens processed.
+	done float64
+}
+
+// length is the part's number of tokens.
+func (r *Read) length() float64 { return float64(r.Tokens) / float64(r.Parts) }
+
+// left is the number of tokens still to be processed.
+func (r *Read) left() float64 { return r.length() - r.done }
+
+// span is the time for the next tokens of the part, without the steps.
+func (r *Read) span(law *dragonflypass.EngineLaw, tokens float64) time.Duration {
+	// Each of several parts has its share of the prompt's pairs, evenly over its tokens.
+	pairs := tokens * float64(r.Tokens) / 2
+	if r.Parts == 1 {
+		pairs = tokens * (r.done + tokens/2)
+	}
+	return time.Duration(tokens/law.ReadRate*float64(time.Second) + pairs/pairsUnit*float64(law.PairTime))
+}
+
+// Writer is a stream that generates its answer.
+type Writer struct {
+	Stream dragonflypass.StreamID
+	// Context is the number of tokens of the prompt that the server holds.
+	Context int
+	// Pause is the longest pause that is still on time, zero for none.
+	Pause time.Duration
+	// From is the instant at which the stream begins to generate.
+	From time.Time
+}
+
+// Engine is the predicted state of one model server.
+type Engine struct {
+	Law *dragonflypass.EngineLaw
+	// Pace is the factor by which the server is slower than its law, 1 when it is not.
+	Pace float64
+
+	reads   []Read
+	writers []Writer
+	// began and ends are the bounds of the pass in progress; ends is zero while the server is idle.
+	began time.Time
+	ends  time.Time
+	// long is set while the pass in progress has generating streams.
+	long bool
+	// planned is how far the pass in progress comes with each read, in the order of reads.
+	planned []float64
+}
+
+// New returns the engine of an idle server.
+func New(law *dragonflypass.EngineLaw) *Engine { return &Engine{Law: law, Pace: 1} }
+
+// Add gives the server a prompt or part at the instant.
+func (e *Engine) Add(read Read, now time.Time) {
+	e.Advance(now)
+	at := len(e.reads)
+	if read.Helped {
+		at = e.helped()
+	}
+	// A part that goes before others waits for the pass in progress, whose reads are planned.
+	at = max(at, len(e.planned))
+	e.reads = slices.Insert(e.reads, at, read)
+	if e.idle() {
+		e.begin(now)
+	}
+}
+
+// idle reports whether the server does nothing, though a stream may be about to generate.
+func (e *Engine) idle() bool { return !e.long && len(e.planned) == 0 }
+
+// helped is the number of parts that go before others.
+func (e *Engine) helped() int {
+	n := 0
+	for n < len(e.reads) && e.reads[n].Helped {
+		n++
+	}
+	return n
+}
+
+// Write adds a stream that generates from its instant on.
+func (e *Engine) Write(writer Writer, now time.Time) {
+	e.Advance(now)
+	e.Stop(writer.Stream)
+	e.writers = append(e.writers, writer)
+	if e.idle() {
+		e.begin(now)
+	}
+}
+
+// Stop takes a generating stream out.
+func (e *Engine) Stop(stream dragonflypass.StreamID) {
+	e.writers = slices.DeleteFunc(e.writers, func(w Writer) bool { return w.Stream == stream })
+}
+
+// Drop takes a stream's prompt and answer out.
+func (e *Engine) Drop(stream dragonflypass.StreamID) {
+	e.Stop(stream)
+	for i := len(e.reads) - 1; i >= 0; i-- {
+		if e.reads[i].Stream != stream {
+			continue
+		}
+		e.reads = slices.Delete(e.reads, i, i+1)
+		if i < len(e.planned) {
+			e.planned = slices.Delete(e.planned, i, i+1)
+		}
+	}
+}
+
+// Done takes a stream's processed part out, as when its end is known before it was predicted.
+func (e *Engine) Done(stream dragonflypass.StreamID) {
+	writers := e.writers
+	e.Drop(stream)
+	e.writers = writers
+}
+
+// Reading reports whether a part of the stream waits or is being processed.
+func (e *Engine) Reading(stream dragonflypass.StreamID) bool {
+	return slices.ContainsFunc(e.reads, func(r Read) bool { return r.Stream == stream })
+}
+
+// Advance works the passes out up to the instant.
+func (e *Engine) Advance(now time.Time) {
+	for !e.ends.IsZero() && !e.ends.After(now) {
+		e.begin(e.end())
+	}
+}
+
+// Finish ends the pass in progress and begins the next; it returns the streams that generated in it, and
+// those whose part was processed.
+func (e *Engine) Finish() (generated, processed []dragonflypass.StreamID) {
+	if e.long {
+		for i := range e.writers {
+			if !e.writers[i].From.After(e.began) {
+				generated = append(generated, e.writers[i].Stream)
+			}
+		}
+	}
+	for i, come := range e.planned {
+		if e.reads[i].length()-come < 1 {
+			processed = append(processed, e.reads[i].Stream)
+		}
+	}
+	e.begin(e.end())
+	return generated, processed
+}
+
+// end closes the pass in progress and returns the instant of its end.
+func (e *Engine) end() time.Time {
+	for i, come := range e.planned {
+		e.reads[i].done = come
+	}
+	e.planned = e.planned[:0]
+	e.reads = slices.DeleteFunc(e.reads, func(r Read) bool { return r.left() < 1 })
+	return e.ends
+}
+
+// begin plans a pass from the instant on.
+func (e *Engine) begin(at time.Time) {
+	e.began = at
+	generating, context := 0, 0
+	for i := range e.writers {
+		if !e.writers[i].From.After(at) {
+			generating++
+			context += e.writers[i].Context
+		}
+	}
+	e.long = generating > 0
+	if !e.long && len(e.reads) == 0 {
+		e.ends = time.Time{}
+		if from, ok := e.nextWriter(); ok {
+			e.ends = from
+		}
+		return
+	}
+	law := e.Law
+	span, room := law.Step, float64(law.Chunk)
+	if e.long {
+		span, room = law.Pass(generating, context), float64(law.Stride*law.Chunk)
+	}
+	e.planned = e.planned[:0]
+	for i := range e.reads {
+		if room < 1 {
+			break
+		}
+		r := &e.reads[i]
+		tokens := min(room, r.left())
+		span += r.span(law, tokens)
+		room -= tokens
+		e.planned = append(e.planned, r.done+tokens)
+	}
+	e.ends = at.Add(time.Duration(e.Pace * float64(span)))
+}
+
+// nextWriter returns the next instant at which a stream begins to generate.
+func (e *Engine) nextWriter() (from time.Time, ok bool) {
+	for i := range e.writers {
+		if !ok || e.writers[i].From.Before(from) {
+			from, ok = e.writers[i].From, true
+		}
+	}
+	return from, ok
+}
+
+// Boundary moves the predicted passes so that one ends at the instant, when one is predicted to end near it.
+func (e *Engine) Boundary(at time.Time) {
+	if e.ends.IsZero() || !e.long {
+		return
+	}
+	sinceBegin, untilEnd := at.Sub(e.began), e.ends.Sub(at)
+	switch {
+	case sinceBegin.Abs() <= untilEnd.Abs():
+		e.began = at
+		e.ends = e.ends.Add(sinceBegin)
+	case untilEnd > 0:
+		e.ends = at
+	}
+}
--- a/core/relayer/relayer.go
+++ b/core/relayer/relayer.go
@@ -58,6 +58,10 @@
 	Balancer    *balancer.Balancer
 	Permits     Permits
 	Retrier     *retrier.Retrier
+	// Owner returns the VM that owns the servers of the service.
+	Owner func(service dragonflypass.ServiceID) dragonflypass.VMID
+	// Heard takes this VM's own open streams.
+	Heard func(dragonflypass.Heartbeat)
 	// Leaving reports whether this VM's shutdown has begun.
 	Leaving func() bool
 
--- a/core/relayer/stream.go
+++ b/core/relayer/stream.go
@@ -21,13 +21,15 @@
 	pausePatience = 1200 * time.Millisecond
 	// pauseFactor multiplies the longest pause on time.
 	pauseFactor = 4
-	// releaseOutput is what a release says of tokens, which only the server counts.
-	releaseOutput = 0
 )
 
 // openStream is a stream at a backend server.
 type openStream struct {
-	cancel context.CancelCauseFunc
+	held  dragonflypass.HeldStream
+	owner dragonflypass.VMID
+	// prefilled is set once the first event has come.
+	prefilled atomic.Bool
+	cancel    context.CancelCauseFunc
 	// stalls is the instant, in nanoseconds since 1970, at which the stream counts as stalled without a further event.
 	stalls atomic.Int64
 }
@@ -35,11 +37,12 @@
 // streamed serves an exchange whose answer is a series of events.
 func (r *Relayer) streamed(ctx context.Context, j *job) error {
 	for {
-		permit, err := r.Permits.Acquire(ctx, r.request(j))
+		request := r.request(j)
+		permit, err := r.Permits.Acquire(ctx, request)
 		if err != nil {
 			return r.denied(ctx, j, err)
 		}
-		err = r.attempt(ctx, j, permit)
+		err = r.attempt(ctx, j, request, permit)
 		if err == nil {
 			return nil
 		}
@@ -81,11 +84,11 @@
 }
 
 // attempt runs the request at the permit's server and returns the permit on every path.
-func (r *Relayer) attempt(ctx context.Context, j *job, permit dragonflypass.Permit) error {
+func (r *Relayer) attempt(ctx context.Context, j *job, request dragonflypass.PermitRequest, permit dragonflypass.Permit) error {
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
-	open := r.hold(j, permit, cancel)
-	before, began := j.events, r.Timer.Now()
+	open := r.hold(j, request, permit, cancel)
+	began := r.Timer.Now()
 	err := r.run(ctx, j, permit, open)
 	r.unhold(permit.Stream)
 	if errors.Is(context.Cause(ctx), errStalled) {
@@ -93,17 +96,35 @@
 	}
 	j.trail = append(j.trail, fmt.Sprintf("%s %s %s %d", permit.Server, describe(nil, err, r.Timer.Now().Sub(began)), permit.Owner, len(permit.Helpers)))
 	r.Permits.Release(permit, dragonflypass.PermitRelease{
-		Stream: permit.Stream, Server: permit.Server, OutputTokens: releaseOutput, Outcome: outcomeOf(err, j.events > before),
+		Stream: permit.Stream, Server: permit.Server, Outcome: outcomeOf(ctx, err), Culprit: culprit(permit, err),
 	})
 	return err
 }
 
+// culprit returns the helper that is at fault, empty when none is.
+func culprit(permit dragonflypass.Permit, err error) dragonflypass.ServerID {
+	var refusal *dragonflypass.ServerRefusal
+	if !errors.As(err, &refusal) || !refusal.Culprit.IsValid() {
+		return ""
+	}
+	for _, h := range permit.Helpers {
+		if h.Address == refusal.Culprit {
+			return h.Server
+		}
+	}
+	return ""
+}
+
 // outcomeOf tells the permit's owner how the stream ended at its server.
-func outcomeOf(err error, some bool) dragonflypass.StreamOutcome {
+func outcomeOf(ctx context.Context, err error) dragonflypass.StreamOutcome {
 	switch {
 	case err == nil:
 		return dragonflypass.OutcomeDone
-	case errors.Is(err, dragonflypass.ErrUnavailable), errors.Is(err, dragonflypass.ErrRefused):
+	case errors.Is(err, dragonflypass.ErrRefused):
+		return dragonflypass.OutcomeRefused
+	case ctx.Err() != nil && !errors.Is(err, errStalled):
+		return dragonflypass.OutcomeCancelled
+	case errors.Is(err, dragonflypass.ErrUnavailable):
 		return dragonflypass.OutcomeUnsent
 	case errors.Is(err, errCaller):
 		return dragonflypass.OutcomeCancelled
@@ -178,6 +199,7 @@
 			return err
 		}
 		if first {
+			open.prefilled.Store(true)
 			r.Permits.Prefilled(permit)
 		}
 		open.stalls.Store(r.Timer.Now().Add(max(pausePatience, pauseFactor*j.route.Pause)).UnixNano())
@@ -250,8 +272,17 @@
 }
 
 // hold notes an open stream.
-func (r *Relayer) hold(j *job, permit dragonflypass.Permit, cancel context.CancelCauseFunc) *openStream {
-	open := &openStream{cancel: cancel}
+func (r *Relayer) hold(j *job, request dragonflypass.PermitRequest, permit dragonflypass.Permit, cancel context.CancelCauseFunc) *openStream {
+	open := &openStream{
+		cancel: cancel, owner: permit.Owner,
+		held: dragonflypass.HeldStream{
+			Stream: permit.Stream, Server: permit.Server, Tokens: request.Tokens(), Fingerprint: request.Fingerprint,
+			Account: request.Account, Deadline: request.Deadline, Service: request.Service, Pause: request.Pause, Prompt: request.PromptTokens,
+		},
+	}
+	for _, h := range permit.Helpers {
+		open.held.Helpers = append(open.held.Helpers, h.Server)
+	}
 	patience := permit.First + max(firstPatience, j.route.Goal/2)
 	open.stalls.Store(r.Timer.Now().Add(patience).UnixNano())
 	r.mutex.Lock()
@@ -260,14 +291,38 @@
 	return open
 }
 
+// Held returns the open streams that the VM granted, by their sequence numbers, and those that
+// another one granted at servers that the VM owns now.
+func (r *Relayer) Held(owner dragonflypass.VMID) (kept []uint64, held []dragonflypass.HeldStream) {
+	r.mutex.Lock()
+	all := make([]*openStream, 0, len(r.open))
+	for _, open := range r.open {
+		all = append(all, open)
+	}
+	r.mutex.Unlock()
+	for _, open := range all {
+		switch {
+		case open.owner == owner:
+			kept = append(kept, open.held.Stream.Sequence)
+		case r.Owner(open.held.Service) == owner:
+			stream := open.held
+			stream.Prefilled = open.prefilled.Load()
+			held = append(held, stream)
+		}
+	}
+	return kept, held
+}
+
 func (r *Relayer) unhold(stream dragonflypass.StreamID) {
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
 	delete(r.open, stream)
 }
 
-// Sweep ends the streams on which nothing came in time.
+// Sweep claims this VM's own streams, and ends those on which nothing came in time.
 func (r *Relayer) Sweep(context.Context) {
+	kept, held := r.Held(r.Self.ID)
+	r.Heard(dragonflypass.Heartbeat{From: r.Self, Incarnation: r.Incarnation, Kept: kept, Held: held})
 	now := r.Timer.Now().UnixNano()
 	var stalled []*openStream
 	r.mutex.Lock()
--- a/core/relayer/whole.go
+++ b/core/relayer/whole.go
@@ -6,7 +6,7 @@
 	"fmt"
 
 	"github.com/dragonflypass/dragonflypass"
-	"github.com/dragonflypass/dragonflypass/core/balancer"
+	"github.com/dragonflypass/dragonflypass/core/assessor"
 )
 
 // serverFault is the lowest status by which a server says that it failed.
@@ -46,7 +46,7 @@
 }
 
 // call sends the request to the server and reads the whole answer.
-func (r *Relayer) call(ctx context.Context, j *job, entry dragonflypass.ServerEntry) (*answer, balancer.Outcome, error) {
+func (r *Relayer) call(ctx context.Context, j *job, entry dragonflypass.ServerEntry) (*answer, assessor.Outcome, error) {
 	began := r.Timer.Now()
 	delivery := j.delivery(entry.ID)
 	delivery.Address = entry.Address
@@ -56,22 +56,22 @@
 	case err == nil:
 		j.attempts++
 		j.ran = true
-		return a, balancer.Answered, nil
+		return a, assessor.Answered, nil
 	case errors.Is(err, dragonflypass.ErrUnavailable):
-		return nil, judged(ctx, balancer.Failed), err
+		return nil, judged(ctx, assessor.Failed), err
 	case errors.Is(err, dragonflypass.ErrRefused):
 		j.attempts++
-		return nil, balancer.Declined, err
+		return nil, assessor.Declined, err
 	}
 	j.attempts++
 	j.ran = true
-	return nil, judged(ctx, balancer.Failed), err
+	return nil, judged(ctx, assessor.Failed), err
 }
 
 // judged returns the outcome unless the request was ended from this side.
-func judged(ctx context.Context, outcome balancer.Outcome) balancer.Outcome {
+func judged(ctx context.Context, outcome assessor.Outcome) assessor.Outcome {
 	if errors.Is(ctx.Err(), context.Canceled) {
-		return balancer.Unjudged
+		return assessor.Unjudged
 	}
 	return outcome
 }
--- /dev/null
+++ b/experiment/simulator/doc.go
@@ -0,0 +1,3 @@
+// Package simulator plays a site's prompts in virtual time against engines that
+// keep to their law, with the real allocator, to compare policies.
+package simulator
--- a/permit.go
+++ b/permit.go
@@ -66,6 +66,8 @@
 	// OutputTokens is the number of tokens that were generated.
 	OutputTokens int
 	Outcome      StreamOutcome
+	// Culprit is the server at fault when a helper was, else empty.
+	Culprit ServerID
 }
 
 // HeldStream is a stream that an entry VM has open at a backend server.
@@ -78,6 +80,15 @@
 	Rank        Rank
 	Account     AccountID
 	Deadline    time.Time
+	// Service names the service whose servers run the stream, empty where the model decides.
+	Service ServiceID
+	// Pause is the longest time between two events that is still on time, zero for none.
+	Pause time.Duration
+	// Prompt is the length of the prompt in tokens, and Prefilled is set once it has been processed.
+	Prompt    int
+	Prefilled bool
+	// Helpers are the servers that process parts of the prompt.
+	Helpers []ServerID
 }
 
 // StreamOutcome is how a stream at a backend server ended.
@@ -93,4 +104,6 @@
 	OutcomeCancelled
 	// OutcomeLost means that the stream's end is not known and the server may still hold it.
 	OutcomeLost
+	// OutcomeRefused means that the server stated that it did not run the request.
+	OutcomeRefused
 )
--- a/route.go
+++ b/route.go
@@ -104,6 +104,14 @@
 	PairTime time.Duration
 	// ReportLag is the age of a server's reports.
 	ReportLag time.Duration
+	// Answer is the mean number of tokens of an answer.
+	Answer int
+}
+
+// Pass returns the time of a pass in which the number of requests generate, without the processing of prompts.
+func (l *EngineLaw) Pass(generating, context int) time.Duration {
+	step := l.Step + time.Duration(generating)*l.StepEach + time.Duration(float64(context)/1000*float64(l.StepContext))
+	return time.Duration(l.Stride) * step
 }
 
 // Reading returns the processing time of a whole prompt on one server, without the steps.
