Tell a queued request from a silent owner, and hear all VMs of a small fleet

The owner's first word now says that the request waits; heartbeats go between all VMs up to 16 others, beyond that they carry sightings of the sender's zone.

--- a/adapter/messenger/client.go
+++ b/adapter/messenger/client.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"crypto/tls"
+	"errors"
 	"net/http"
 	"net/netip"
 	"strings"
@@ -21,6 +22,9 @@
 	path = "/peer"
 	// dialTimeout bounds the making of a connection to another entry VM.
 	dialTimeout = time.Second
+	// wordTimeout bounds the wait for an owner's first word about a request for a permit: a link between
+	// zones takes milliseconds, a VM at work tens of them.
+	wordTimeout = 150 * time.Millisecond
 )
 
 // Client reaches the other entry VMs, over one connection to each.
@@ -134,7 +138,11 @@
 			return
 		}
 		var a answer
-		if e.Kind != kindAnswer || cbor.Unmarshal(e.Body, &a) != nil {
+		switch {
+		case e.Kind == kindQueued:
+			k.queued(e.ID)
+			continue
+		case e.Kind != kindAnswer || cbor.Unmarshal(e.Body, &a) != nil:
 			return
 		}
 		if asked, ok := k.take(e.ID); ok {
@@ -143,6 +151,15 @@
 	}
 }
 
+// queued tells the one who asked that the outcome will follow.
+func (k *caller) queued(id uint64) {
+	k.mutex.Lock()
+	defer k.mutex.Unlock()
+	if asked, ok := k.pending[id]; ok {
+		asked <- answer{queued: true}
+	}
+}
+
 func (k *caller) end() {
 	k.link.close()
 	k.mutex.Lock()
@@ -162,22 +179,37 @@
 	return asked, ok
 }
 
-// ask sends a question and waits for its answer; abandon is called when ctx ends first.
-func (k *caller) ask(ctx context.Context, kind string, value any, abandon func(id uint64)) (answer, error) {
-	asked := make(chan answer, 1)
+// ask sends a question and waits for its answer.
+func (k *caller) ask(ctx context.Context, kind string, value any) (answer, error) {
+	id, asked, err := k.send(kind, value)
+	if err != nil {
+		return answer{}, err
+	}
+	return k.wait(ctx, id, asked)
+}
+
+// send sends a question; its answer comes on the channel, which is closed when the connection ends before.
+func (k *caller) send(kind string, value any) (id uint64, asked chan answer, err error) {
+	// Room for the word that a request waits, and for its outcome.
+	asked = make(chan answer, 2)
 	k.mutex.Lock()
 	if k.closed {
 		k.mutex.Unlock()
-		return answer{}, eris.Wrap(dragonflypass.ErrUncertain, "connection closed")
+		return 0, nil, eris.Wrap(dragonflypass.ErrUncertain, "connection closed")
 	}
 	k.next++
-	id := k.next
+	id = k.next
 	k.pending[id] = asked
 	k.mutex.Unlock()
 	if err := k.link.send(envelope{ID: id, Kind: kind, Body: body(value)}); err != nil {
 		k.take(id)
-		return answer{}, eris.Wrap(dragonflypass.ErrUncertain, err.Error())
+		return 0, nil, eris.Wrap(dragonflypass.ErrUncertain, err.Error())
 	}
+	return id, asked, nil
+}
+
+// wait returns what comes first for the question: the next answer, the end of the connection or that of ctx.
+func (k *caller) wait(ctx context.Context, id uint64, asked chan answer) (answer, error) {
 	select {
 	case a, ok := <-asked:
 		if !ok {
@@ -186,22 +218,38 @@
 		return a, nil
 	case <-ctx.Done():
 		k.take(id)
-		if abandon != nil {
-			abandon(id)
-		}
 		return answer{}, context.Cause(ctx)
 	}
 }
 
+// acquire asks for a permit: the owner's first word must come soon, the outcome may follow later.
+func (k *caller) acquire(ctx context.Context, request dragonflypass.PermitRequest) (answer, error) {
+	id, asked, err := k.send(kindAcquire, toAcquire(request, time.Now()))
+	if err != nil {
+		return answer{}, err
+	}
+	soon, cancel := context.WithTimeout(ctx, wordTimeout)
+	defer cancel()
+	a, err := k.wait(soon, id, asked)
+	if err == nil && a.queued {
+		a, err = k.wait(ctx, id, asked)
+	}
+	if soon.Err() != nil && err != nil {
+		_ = k.link.send(envelope{ID: id, Kind: kindWithdraw})
+	}
+	if ctx.Err() == nil && errors.Is(err, context.DeadlineExceeded) {
+		return a, eris.Wrap(dragonflypass.ErrUnavailable, "the owner is silent")
+	}
+	return a, err
+}
+
 // Acquire waits for a permit of the owner; when ctx ends the request is withdrawn.
 func (c *Client) Acquire(ctx context.Context, owner dragonflypass.VM, request dragonflypass.PermitRequest) (dragonflypass.Permit, error) {
 	k, err := c.caller(ctx, owner)
 	if err != nil {
 		return dragonflypass.Permit{}, err
 	}
-	a, err := k.ask(ctx, kindAcquire, toAcquire(request, time.Now()), func(id uint64) {
-		_ = k.link.send(envelope{ID: id, Kind: kindWithdraw})
-	})
+	a, err := k.acquire(ctx, request)
 	switch {
 	case err != nil:
 		return dragonflypass.Permit{}, err
@@ -260,5 +308,5 @@
 	if err != nil {
 		return answer{}, err
 	}
-	return k.ask(ctx, kind, value, nil)
+	return k.ask(ctx, kind, value)
 }
--- a/adapter/messenger/message.go
+++ b/adapter/messenger/message.go
@@ -21,6 +21,8 @@
 	kindCrash    = "crash"
 	kindPrefill  = "prefilled"
 	kindAnswer   = "answer"
+	// kindQueued tells that a request for a permit waits at its owner.
+	kindQueued = "queued"
 )
 
 // envelope is one message; an answer carries the ID of its question.
@@ -36,6 +38,9 @@
 	Refusal *refusal `cbor:"refusal,omitempty"`
 	Beat    *beat    `cbor:"beat,omitempty"`
 	Page    *page    `cbor:"page,omitempty"`
+
+	// queued is set when the request for a permit waits and its outcome will follow.
+	queued bool
 }
 
 type stream struct {
@@ -118,12 +123,22 @@
 	Incarnation uint64 `cbor:"inc"`
 	Config      uint64 `cbor:"config"`
 	Loads       []load `cbor:"loads,omitempty"`
+	Seen        []seen `cbor:"seen,omitempty"`
 	// Kept holds the sequence numbers in rising order, each less the one before.
 	Kept  []uint64 `cbor:"kept,omitempty"`
 	Held  []held   `cbor:"held,omitempty"`
 	Marks []mark   `cbor:"marks,omitempty"`
 }
 
+// seen is written as an array, for a heartbeat may have many.
+type seen struct {
+	_           struct{} `cbor:",toarray"`
+	VM          vm
+	Incarnation uint64
+	// Age is in nanoseconds.
+	Age int64
+}
+
 type mark struct {
 	Topic   string   `cbor:"topic"`
 	End     uint64   `cbor:"end"`
@@ -321,8 +336,7 @@
 
 func toBeat(b dragonflypass.Heartbeat, now time.Time) beat {
 	w := beat{
-		From:        vm{ID: string(b.From.ID), Zone: string(b.From.Zone), Peer: b.From.Peer.String(), Leaving: b.From.Leaving},
-		Incarnation: b.Incarnation, Config: uint64(b.Config),
+		From: toVM(b.From), Incarnation: b.Incarnation, Config: uint64(b.Config),
 	}
 	for _, l := range b.Loads {
 		wire := load{Server: string(l.Server), Free: l.Free, Streams: l.Streams, Closing: toNano(l.Closing)}
@@ -345,9 +359,21 @@
 	for _, m := range b.Marks {
 		w.Marks = append(w.Marks, toMark(m))
 	}
+	for _, s := range b.Seen {
+		w.Seen = append(w.Seen, seen{VM: toVM(s.VM), Incarnation: s.Incarnation, Age: int64(s.Age)})
+	}
 	return w
 }
 
+func toVM(v dragonflypass.VM) vm {
+	return vm{ID: string(v.ID), Zone: string(v.Zone), Peer: v.Peer.String(), Leaving: v.Leaving}
+}
+
+func (w vm) vm() (dragonflypass.VM, error) {
+	peer, err := parseAddress(w.Peer)
+	return dragonflypass.VM{ID: dragonflypass.VMID(w.ID), Zone: dragonflypass.AvailabilityZone(w.Zone), Peer: peer, Leaving: w.Leaving}, err
+}
+
 func toHeld(h dragonflypass.HeldStream, now time.Time) held {
 	w := held{
 		Stream: toStream(h.Stream), Server: string(h.Server), Tokens: h.Tokens, Fingerprint: toFingerprint(h.Fingerprint),
@@ -391,10 +417,9 @@
 }
 
 func (w beat) beat(now time.Time) (dragonflypass.Heartbeat, error) {
-	peer, err := parseAddress(w.From.Peer)
+	from, err := w.From.vm()
 	b := dragonflypass.Heartbeat{
-		From:        dragonflypass.VM{ID: dragonflypass.VMID(w.From.ID), Zone: dragonflypass.AvailabilityZone(w.From.Zone), Peer: peer, Leaving: w.From.Leaving},
-		Incarnation: w.Incarnation, Config: dragonflypass.Offset(w.Config),
+		From: from, Incarnation: w.Incarnation, Config: dragonflypass.Offset(w.Config),
 	}
 	for _, l := range w.Loads {
 		full := dragonflypass.ServerLoad{Server: dragonflypass.ServerID(l.Server), Free: l.Free, Streams: l.Streams, Closing: fromNano(l.Closing)}
@@ -417,6 +442,13 @@
 	for _, m := range w.Marks {
 		b.Marks = append(b.Marks, m.mark())
 	}
+	for _, s := range w.Seen {
+		other, failed := s.VM.vm()
+		if failed != nil {
+			return b, failed
+		}
+		b.Seen = append(b.Seen, dragonflypass.Sighting{VM: other, Incarnation: s.Incarnation, Age: time.Duration(s.Age)})
+	}
 	return b, err
 }
 
--- a/adapter/messenger/server.go
+++ b/adapter/messenger/server.go
@@ -125,7 +125,9 @@
 			s.Handler.Release(dragonflypass.PermitRelease{Stream: request.Stream, Server: p.Server, Outcome: dragonflypass.OutcomeUnsent})
 		}
 	})
-	waits.set(e.ID, withdraw)
+	if waits.set(e.ID, withdraw) {
+		_ = l.send(envelope{ID: e.ID, Kind: kindQueued})
+	}
 	return true
 }
 
@@ -189,13 +191,15 @@
 	w.withdraw[id] = func() {}
 }
 
-// set notes how to withdraw a request that has no outcome yet.
-func (w *waits) set(id uint64, withdraw func()) {
+// set notes how to withdraw a request and reports whether it has no outcome yet.
+func (w *waits) set(id uint64, withdraw func()) bool {
 	w.mutex.Lock()
 	defer w.mutex.Unlock()
-	if _, waiting := w.withdraw[id]; waiting {
+	_, waiting := w.withdraw[id]
+	if waiting {
 		w.withdraw[id] = withdraw
 	}
+	return waiting
 }
 
 func (w *waits) done(id uint64) {
--- a/core/acquirer/acquirer.go
+++ b/core/acquirer/acquirer.go
@@ -10,10 +10,6 @@
 )
 
 const (
-	// shortPatience is how long a prompt with little time waits for an owner before this VM decides by itself.
-	shortPatience = 120 * time.Millisecond
-	// patiencePart is the part of the time to its target for which a prompt waits for an owner that is heard.
-	patiencePart = 0.5
 	// callTimeout bounds one message to an owner.
 	callTimeout = time.Second
 	// releaseTries is the number of attempts to return a permit; after them its lease runs out.
@@ -66,10 +62,6 @@
 func (a *Acquirer) remote(ctx context.Context, owner dragonflypass.VM, request dragonflypass.PermitRequest) (dragonflypass.Permit, error) {
 	ctx, stop := a.Members.Attend(ctx, owner.ID)
 	defer stop()
-	now := a.Timer.Now()
-	patience := max(shortPatience, time.Duration(patiencePart*float64(request.Target.Sub(now))))
-	ctx, cancel := a.Timer.WithDeadline(ctx, now.Add(patience))
-	defer cancel()
 	permit, err := a.Peers.Acquire(ctx, owner, request)
 	if err != nil && ctx.Err() != nil {
 		return permit, errSilent
--- a/core/allocator/allocator.go
+++ b/core/allocator/allocator.go
@@ -55,6 +55,8 @@
 	granted time.Time
 	// first is the predicted instant of the first token.
 	first time.Time
+	// short is set when the prompt is processed among short ones.
+	short bool
 	// prefilled is set once the prompt is known to be processed.
 	prefilled bool
 	heard     time.Time
@@ -185,6 +187,9 @@
 	}
 	p.server.reserved -= p.tokens
 	p.server.streams--
+	if p.short {
+		p.cell.shorts--
+	}
 }
 
 // Recheck refuses the waiting requests whose service has no server left.
--- a/core/allocator/cell.go
+++ b/core/allocator/cell.go
@@ -32,6 +32,8 @@
 	ranked  []*server
 	waiting []*waiting
 
+	// shorts is the number of permits of short prompts.
+	shorts int
 	// kept is the number of servers kept for short prompts, at least 1.
 	kept     int
 	shrunk   time.Time
@@ -39,7 +41,6 @@
 	loadFrom time.Time
 	wake     func()
 
-	forecaster predictor.Forecaster
 	// options is kept for its memory.
 	options []option
 }
@@ -48,6 +49,8 @@
 type server struct {
 	entry  dragonflypass.ServerEntry
 	engine *predictor.Engine
+	// outlook is what the server has before it, as of the grants of the last dispatch.
+	outlook predictor.Outlook
 	// rank is the server's place in the fixed order.
 	rank int
 	// reserved is the memory of the permits in tokens.
@@ -128,10 +131,10 @@
 }
 
 // resize sets the number of servers kept for short prompts by the short streams and the observed load.
-func (c *cell) resize(shorts int, now time.Time) {
+func (c *cell) resize(now time.Time) {
 	perSecond := c.loadAt(now) * math.Ln2 / loadHalfLife.Seconds()
 	wanted := max(
-		int(math.Ceil(float64(shorts)/(shortOccupancy*float64(c.law.Slots)))),
+		int(math.Ceil(float64(c.shorts)/(shortOccupancy*float64(c.law.Slots)))),
 		int(math.Ceil(perSecond/shortLoad)),
 		1,
 	)
--- a/core/allocator/place.go
+++ b/core/allocator/place.go
@@ -69,16 +69,12 @@
 	if len(c.waiting) == 0 {
 		return nil
 	}
-	shorts := 0
+	arrival := now.Add(transit)
 	for _, s := range c.ranked {
-		s.engine.Advance(now)
+		s.engine.Advance(arrival)
+		s.outlook = s.engine.Outlook(arrival)
 	}
-	for _, p := range a.permits {
-		if p.cell == c && p.request.Pause > 0 && p.parts <= c.kept {
-			shorts++
-		}
-	}
-	c.resize(shorts, now)
+	c.resize(now)
 	c.order(now)
 	blocked := false
 	rest := c.waiting[:0]
@@ -259,9 +255,9 @@
 // weigh forecasts one part at the server.
 func (c *cell) weigh(w *waiting, s *server, parts int, short bool, now time.Time) option {
 	read := predictor.Part(w.request.Stream, w.request.PromptTokens, parts, parts > 1)
-	f := c.forecaster.Forecast(s.engine, read, now.Add(transit))
+	f := s.outlook.Forecast(read)
 	o := option{server: s, done: f.Done, cost: f.Done.Sub(now), sound: true}
-	if pause := s.engine.Pause(); pause > 0 && f.Longest > pause-pauseMargin {
+	if pause := s.outlook.Pause(); pause > 0 && f.Longest > pause-pauseMargin {
 		o.sound = false
 	}
 	if c.strays(s, short) {
@@ -286,9 +282,13 @@
 	for _, s := range p.servers() {
 		a.Assessor.Chosen(s.entry.ID)
 	}
-	if c.short(w) {
+	if p.short = c.short(w); p.short {
+		c.shorts++
 		c.noteShort(w.reading, now)
 	}
+	for _, s := range p.servers() {
+		s.outlook = s.engine.Outlook(now.Add(transit))
+	}
 	a.Meter.Add(dragonflypass.CountPermitGranted, 1)
 	granted := dragonflypass.Permit{
 		Stream: w.request.Stream, Owner: a.Self, Server: p.server.entry.ID, Address: p.server.entry.Address,
--- a/core/detector/detector.go
+++ b/core/detector/detector.go
@@ -18,6 +18,8 @@
 	goneIntervals = 10
 	// remoteNeighbours is the number of VMs of each other zone with which heartbeats are exchanged.
 	remoteNeighbours = 2
+	// smallFleet is the number of other VMs up to which each exchanges heartbeats with all.
+	smallFleet = 16
 	// zoneCost lengthens the heartbeat interval for each live VM of the zone, to bound what control costs.
 	zoneCost = 40 * time.Millisecond
 	// directoryTimeout bounds one reading of the platform's list of VMs.
--- a/core/detector/exchange.go
+++ b/core/detector/exchange.go
@@ -78,9 +78,16 @@
 	return due
 }
 
-// neighbours returns the VMs of the own zone and a few of each other one; it is called with the mutex held.
+// neighbours returns the VMs of the own zone and a few of each other one, or all in a small fleet; it is
+// called with the mutex held.
 func (d *Detector) neighbours() []*member {
 	var near []*member
+	if len(d.members) <= smallFleet {
+		for _, m := range d.members {
+			near = append(near, m)
+		}
+		return near
+	}
 	far := make(map[dragonflypass.AvailabilityZone][]*member)
 	for _, m := range d.members {
 		if m.VM.Zone == d.Self.Zone {
@@ -142,11 +149,12 @@
 // beat makes the heartbeat for the other VM.
 func (d *Detector) beat(to dragonflypass.VMID) dragonflypass.Heartbeat {
 	d.mutex.Lock()
-	self := d.self()
+	self, seen := d.self(), d.seen(to)
 	d.mutex.Unlock()
 	kept, held := d.Held(to)
 	return dragonflypass.Heartbeat{
 		From:        self,
+		Seen:        seen,
 		Incarnation: d.Incarnation,
 		Config:      d.Config(),
 		Loads:       d.Loads(),
@@ -155,6 +163,50 @@
 	}
 }
 
+// seen returns the VMs of the own zone that this one hears, for a VM of another zone; it is called with the mutex held.
+func (d *Detector) seen(to dragonflypass.VMID) []dragonflypass.Sighting {
+	other, ok := d.members[to]
+	if len(d.members) <= smallFleet || !ok || other.VM.Zone == d.Self.Zone {
+		return nil
+	}
+	now := d.Timer.Now()
+	var seen []dragonflypass.Sighting
+	for _, m := range d.members {
+		if m.VM.Zone == d.Self.Zone && m.State == dragonflypass.MemberLive {
+			seen = append(seen, dragonflypass.Sighting{VM: m.VM, Incarnation: m.Incarnation, Age: now.Sub(m.Heard)})
+		}
+	}
+	return seen
+}
+
+// glimpse takes what another VM knows of the VMs of its zone; it is called with the mutex held.
+func (d *Detector) glimpse(seen []dragonflypass.Sighting, now time.Time) (changed []dragonflypass.Member) {
+	for _, s := range seen {
+		if s.VM.ID == d.Self.ID || s.VM.Zone == d.Self.Zone {
+			continue
+		}
+		m, known := d.members[s.VM.ID]
+		if !known {
+			m = newMember(s.VM, false)
+			m.listed = false
+			d.members[s.VM.ID] = m
+		}
+		heard := now.Add(-s.Age)
+		if s.Incarnation < m.Incarnation || !heard.After(m.Heard) {
+			continue
+		}
+		before := m.State
+		if m.Incarnation != s.Incarnation {
+			m.lose()
+		}
+		m.VM, m.Incarnation, m.Heard, m.State = s.VM, s.Incarnation, heard, dragonflypass.MemberLive
+		if m.State != before {
+			changed = append(changed, m.Member)
+		}
+	}
+	return changed
+}
+
 // self is called with the mutex held.
 func (d *Detector) self() dragonflypass.VM {
 	vm := d.Self
@@ -239,7 +291,7 @@
 	if beat.From.Leaving {
 		m.State = dragonflypass.MemberLeaving
 	}
-	var changed []dragonflypass.Member
+	changed := d.glimpse(beat.Seen, m.Heard)
 	if m.State != before {
 		changed = append(changed, m.Member)
 	}
--- a/core/predictor/engine.go
+++ b/core/predictor/engine.go
@@ -234,3 +234,6 @@
 		e.ends = at
 	}
 }
+
+// Ends returns the instant at which the pass in progress ends, zero while the server is idle.
+func (e *Engine) Ends() time.Time { return e.ends }
--- a/vm.go
+++ b/vm.go
@@ -62,6 +62,16 @@
 	Held []HeldStream
 	// Marks tell how far the sender has read the platform's topics.
 	Marks []Mark
+	// Seen are the VMs of the sender's zone that it hears itself, in a heartbeat to another zone.
+	Seen []Sighting
+}
+
+// Sighting is what one entry VM knows of another's life.
+type Sighting struct {
+	VM          VM
+	Incarnation uint64
+	// Age is the time since the VM was heard.
+	Age time.Duration
 }
 
 // Mark tells how far an entry VM has read a topic of the platform's store.
