--- a/adapter/assembler/relay.go
+++ b/adapter/assembler/relay.go
@@ -138,7 +138,7 @@
 // newRelayNode ties the parts to the process's start and stop.
 func newRelayNode(lifecycle fx.Lifecycle, settings *loader.RelaySettings, core *composer.Relay, metrics *counter.Counter, parts relayParts) *RelayNode {
 	n := &RelayNode{Settings: settings, Core: core, Metrics: metrics, parts: parts}
-	n.callers = &platform.Callers{Relay: core.Relayer, Limits: n.limits, Leaving: core.Detector.Leaving, Meter: metrics, Body: settings.Limits.Body}
+	n.callers = &platform.Callers{Relay: core.Relayer, Limits: n.limits, Closing: func() bool { return !core.Ready() }, Meter: metrics, Body: settings.Limits.Body}
 	n.peers = messenger.NewServer()
 	n.peers.Pool, n.peers.Meter, n.peers.Handler = parts.Pool, metrics, core.Handler()
 	lifecycle.Append(fx.Hook{OnStart: n.start, OnStop: n.stop})
--- a/core/acquirer/acquirer.go
+++ b/core/acquirer/acquirer.go
@@ -7,9 +7,12 @@
 	"github.com/rotisserie/eris"
 
 	"github.com/dragonflypass/dragonflypass"
+	"github.com/dragonflypass/dragonflypass/core/locker"
 )
 
 const (
+	// silentTime is how long an owner that did not answer is not asked.
+	silentTime = 500 * time.Millisecond
 	// callTimeout bounds one message to an owner.
 	callTimeout = time.Second
 	// releaseTries is the number of attempts to return a permit; after them its lease runs out.
@@ -39,12 +42,39 @@
 	Local dragonflypass.Owner
 	// Owner returns the VM that owns the servers of the service.
 	Owner func(service dragonflypass.ServiceID) dragonflypass.VM
+	// Silent is called when an owner did not answer.
+	Silent func()
+
+	mutex  locker.Mutex
+	silent map[dragonflypass.VMID]time.Time
+}
+
+// New returns an acquirer to which all owners answer.
+func New() *Acquirer {
+	return &Acquirer{mutex: locker.Mutex{Order: locker.Queues}, silent: make(map[dragonflypass.VMID]time.Time)}
+}
+
+// answers reports whether the owner is worth asking.
+func (a *Acquirer) answers(owner dragonflypass.VMID) bool {
+	now := a.Timer.Now()
+	a.mutex.Lock()
+	defer a.mutex.Unlock()
+	return !now.Before(a.silent[owner])
+}
+
+// noteSilent has the owner not be asked for a time.
+func (a *Acquirer) noteSilent(owner dragonflypass.VMID) {
+	now := a.Timer.Now()
+	a.mutex.Lock()
+	a.silent[owner] = now.Add(silentTime)
+	a.mutex.Unlock()
+	a.Silent()
 }
 
 // Acquire waits for a permit; the error is a Refusal or that of ctx.
 func (a *Acquirer) Acquire(ctx context.Context, request dragonflypass.PermitRequest) (dragonflypass.Permit, error) {
 	owner := a.Owner(request.Service)
-	if owner.ID != a.Self {
+	if owner.ID != a.Self && a.answers(owner.ID) {
 		permit, err := a.remote(ctx, owner, request)
 		if err == nil || ctx.Err() != nil {
 			return permit, err
@@ -52,6 +82,7 @@
 		if refusal, ok := dragonflypass.AsRefusal(err); ok {
 			return permit, refusal
 		}
+		a.noteSilent(owner.ID)
 		a.Meter.Add(dragonflypass.CountOwnerSilent, 1)
 		a.Logger.Warn("owner silent", "owner", owner.ID, "service", request.Service, "stream", request.Stream.Sequence, "error", err)
 	}
--- a/core/allocator/allocator.go
+++ b/core/allocator/allocator.go
@@ -31,6 +31,8 @@
 	Meter    dragonflypass.Meter
 	Logger   dragonflypass.Logger
 	Assessor *assessor.Assessor
+	// Unreached takes a server that could not be reached.
+	Unreached func(server dragonflypass.ServerID)
 	// Law returns the law of the service's engines, nil when it is not known.
 	Law func(service dragonflypass.ServiceID) *dragonflypass.EngineLaw
 	// Servers returns the servers of the service that may be given work.
@@ -175,8 +177,10 @@
 func (a *Allocator) judge(release dragonflypass.PermitRelease) {
 	switch {
 	case release.Culprit != "":
-		a.Assessor.Note(release.Culprit, assessor.Failed)
-	case release.Outcome == dragonflypass.OutcomeLost, release.Outcome == dragonflypass.OutcomeUnsent:
+		a.Unreached(release.Culprit)
+	case release.Outcome == dragonflypass.OutcomeUnsent:
+		a.Unreached(release.Server)
+	case release.Outcome == dragonflypass.OutcomeLost:
 		a.Assessor.Note(release.Server, assessor.Failed)
 	case release.Outcome == dragonflypass.OutcomeDone:
 		a.Assessor.Note(release.Server, assessor.Answered)
--- a/core/assessor/assessor.go
+++ b/core/assessor/assessor.go
@@ -16,10 +16,6 @@
 	longestOut = 8 * time.Second
 	// trialTime is how long one request may try a server before another one may.
 	trialTime = 2 * time.Second
-	// rowLimit is the number of servers that are remembered before unused ones are dropped.
-	rowLimit = 256
-	// forgetTime is how long a server without news is remembered.
-	forgetTime = time.Minute
 )
 
 // Outcome is how a request at a server ended, as far as it tells of the server.
@@ -29,8 +25,10 @@
 const (
 	// Answered means that the server's own answer came, whatever it was.
 	Answered Outcome = iota
-	// Failed means that the server could not be reached, broke off or did not answer in time.
+	// Failed means that the server broke off or did not answer in time.
 	Failed
+	// Unreached means that no connection to the server could be made.
+	Unreached
 	// Declined means that the server stated that it did not run the request.
 	Declined
 	// Unjudged means that the end tells nothing of the server, as when the caller went away.
@@ -49,11 +47,12 @@
 
 type row struct {
 	fails int
+	// unreached is set from a failed connection until a probe succeeds.
+	unreached bool
 	// out is the instant up to which the server is left out.
 	out time.Time
 	// trial is the instant up to which one request tries the server after its time out.
 	trial time.Time
-	heard time.Time
 }
 
 // New returns an assessor to which all servers are sound.
@@ -67,7 +66,53 @@
 	a.mutex.Lock()
 	defer a.mutex.Unlock()
 	r, ok := a.rows[id]
-	return !ok || r.fails < failLimit || (!now.Before(r.out) && !now.Before(r.trial))
+	return !ok || (!r.unreached && (r.fails < failLimit || (!now.Before(r.out) && !now.Before(r.trial))))
+}
+
+// Unreachable reports whether the server could not be reached and no probe has succeeded since.
+func (a *Assessor) Unreachable(id dragonflypass.ServerID) bool {
+	a.mutex.Lock()
+	defer a.mutex.Unlock()
+	r, ok := a.rows[id]
+	return ok && r.unreached
+}
+
+// Probed takes the outcome of a probe of the server.
+func (a *Assessor) Probed(id dragonflypass.ServerID, reached bool) {
+	a.mutex.Lock()
+	r, ok := a.rows[id]
+	changed := reached != !(ok && r.unreached)
+	if !reached {
+		r = a.row(id)
+	}
+	if changed {
+		r.unreached = !reached
+	}
+	a.mutex.Unlock()
+	if changed {
+		a.Logger.Info("backend server probed", "server", id, "reached", reached)
+	}
+}
+
+// Keep forgets the servers that are not listed.
+func (a *Assessor) Keep(listed map[dragonflypass.ServerID]bool) {
+	a.mutex.Lock()
+	defer a.mutex.Unlock()
+	for id := range a.rows {
+		if !listed[id] {
+			delete(a.rows, id)
+		}
+	}
+}
+
+// row is called with the mutex held.
+func (a *Assessor) row(id dragonflypass.ServerID) *row {
+	r, ok := a.rows[id]
+	if !ok {
+		r = &row{}
+		a.rows[id] = r
+	}
+	return r
 }
 
 // Chosen notes that the server is given a request: for one that was left out it is a trial, and others wait for its end.
@@ -82,40 +127,41 @@
 
 // Note takes the end of a request at the server.
 func (a *Assessor) Note(id dragonflypass.ServerID, outcome Outcome) {
-	if outcome != Failed && outcome != Answered {
+	if outcome == Declined || outcome == Unjudged {
 		return
 	}
 	now := a.Timer.Now()
 	a.mutex.Lock()
-	r, ok := a.rows[id]
-	if !ok {
-		if outcome == Answered {
-			a.mutex.Unlock()
-			return
-		}
-		r = &row{}
-		a.rows[id] = r
-		a.forget(now)
+	if _, ok := a.rows[id]; !ok && outcome == Answered {
+		a.mutex.Unlock()
+		return
 	}
-	before := r.fails
+	r := a.row(id)
+	before := *r
 	out := r.note(outcome, now)
 	a.mutex.Unlock()
 	switch {
 	case out > 0:
 		a.Meter.Add(dragonflypass.CountServerLeftOut, 1)
-		a.Logger.Info("backend server left out", "server", id, "failures", before+1, "span", out)
-	case outcome == Answered && before >= failLimit:
+		a.Logger.Info("backend server left out", "server", id, "failures", before.fails+1, "span", out)
+	case outcome == Unreached && !before.unreached:
+		a.Meter.Add(dragonflypass.CountServerLeftOut, 1)
+		a.Logger.Info("backend server unreached", "server", id)
+	case outcome == Answered && before.fails >= failLimit:
 		a.Logger.Info("backend server taken back", "server", id)
 	}
 }
 
 // note returns for how long the server is left out, zero when it is not.
 func (r *row) note(outcome Outcome, now time.Time) time.Duration {
-	r.heard = now
 	r.trial = time.Time{}
-	if outcome == Answered {
+	switch outcome {
+	case Answered:
 		r.fails = 0
 		return 0
+	case Unreached:
+		r.unreached = true
+		return 0
 	}
 	r.fails++
 	if r.fails < failLimit {
@@ -125,15 +171,3 @@
 	r.out = now.Add(out)
 	return out
 }
-
-// forget drops servers without news; it is called with the mutex held.
-func (a *Assessor) forget(now time.Time) {
-	if len(a.rows) < rowLimit {
-		return
-	}
-	for id, r := range a.rows {
-		if now.Sub(r.heard) > forgetTime {
-			delete(a.rows, id)
-		}
-	}
-}
--- a/core/composer/relay.go
+++ b/core/composer/relay.go
@@ -14,6 +14,7 @@
 	"github.com/dragonflypass/dragonflypass/core/detector"
 	"github.com/dragonflypass/dragonflypass/core/follower"
 	"github.com/dragonflypass/dragonflypass/core/handler"
+	"github.com/dragonflypass/dragonflypass/core/prober"
 	"github.com/dragonflypass/dragonflypass/core/quarantiner"
 	"github.com/dragonflypass/dragonflypass/core/registrar"
 	"github.com/dragonflypass/dragonflypass/core/relayer"
@@ -58,6 +59,7 @@
 	Router    *router.Router
 	Registrar *registrar.Registrar
 	Assessor  *assessor.Assessor
+	Prober    *prober.Prober
 	Balancer  *balancer.Balancer
 	Allocator *allocator.Allocator
 	Acquirer  *acquirer.Acquirer
@@ -143,8 +145,15 @@
 	n.Allocator = a
 	n.Registrar.Changed = a.Recheck
 
-	q := &acquirer.Acquirer{Self: o.Self.ID, Timer: p.Timer, Pool: p.Pool, Peers: p.Peers, Members: n.Detector, Meter: p.Meter, Logger: p.Logger}
-	q.Local, q.Owner = a, n.owner
+	r := prober.New()
+	r.Timer, r.Pool, r.Backend, r.Meter = p.Timer, p.Pool, p.Backend, p.Meter
+	r.Servers, r.Assessor = n.Registrar, n.Assessor
+	n.Prober = r
+	a.Unreached = n.unreached
+
+	q := acquirer.New()
+	q.Self, q.Timer, q.Pool, q.Peers, q.Members, q.Meter, q.Logger = o.Self.ID, p.Timer, p.Pool, p.Peers, n.Detector, p.Meter, p.Logger
+	q.Local, q.Owner, q.Silent = a, n.owner, r.DoubtAll
 	n.Acquirer = q
 }
 
@@ -153,12 +162,20 @@
 	l := relayer.New()
 	l.Self, l.Incarnation, l.Timer, l.Backend = o.Self, o.Incarnation, p.Timer, p.Backend
 	l.Meter, l.Logger, l.Router, l.Directory, l.Balancer = p.Meter, p.Logger, n.Router, n.Registrar, n.Balancer
-	l.Permits, l.Retrier, l.Leaving = n.Acquirer, n.Retrier, n.Detector.Leaving
+	l.Permits, l.Retrier, l.Left, l.Unreached = n.Acquirer, n.Retrier, n.Detector.Left, n.unreached
 	l.Owner = func(service dragonflypass.ServiceID) dragonflypass.VMID { return n.owner(service).ID }
 	l.Heard = n.Allocator.Heard
 	n.Relayer = l
 }
 
+// unreached notes a server that could not be reached, and has the others of its zone probed.
+func (n *Relay) unreached(id dragonflypass.ServerID) {
+	n.Assessor.Note(id, assessor.Unreached)
+	if entry, ok := n.Registrar.Server(id); ok {
+		n.Prober.Doubt(entry.Zone)
+	}
+}
+
 // owner returns the VM that owns the servers of the service: the winner of rendezvous hashing among the live VMs.
 func (n *Relay) owner(service dragonflypass.ServiceID) dragonflypass.VM {
 	if vm, ok := detector.Winner(string(service), n.Detector.Live()); ok {
@@ -225,7 +242,7 @@
 // Run runs the parts until ctx ends; the pool and the timer service must be running.
 func (n *Relay) Run(ctx context.Context) {
 	var parts sync.WaitGroup
-	for _, run := range []func(context.Context){n.Detector.Run, n.Routing.Run, n.Registry.Run, n.Registrar.Run, n.Allocator.Run, n.Relayer.Run} {
+	for _, run := range []func(context.Context){n.Detector.Run, n.Routing.Run, n.Registry.Run, n.Registrar.Run, n.Allocator.Run, n.Prober.Run, n.Relayer.Run} {
 		parts.Go(func() { run(ctx) })
 	}
 	parts.Wait()
@@ -238,5 +255,5 @@
 
 // Ready reports whether the node can serve.
 func (n *Relay) Ready() bool {
-	return !n.Detector.Leaving() && n.Router.Trusted() && n.Registry.Known()
+	return !n.Detector.Leaving() && n.Router.Fresh() && n.Registry.Known()
 }
--- a/core/detector/detector.go
+++ b/core/detector/detector.go
@@ -61,6 +61,7 @@
 	mutex     locker.Mutex
 	members   map[dragonflypass.VMID]*member
 	leaving   bool
+	left      time.Time
 	listeners []func()
 	// others is the table as last returned by Others, nil when it has changed since.
 	others []dragonflypass.Member
@@ -215,6 +216,9 @@
 	d.mutex.Lock()
 	already := d.leaving
 	d.leaving = true
+	if !already {
+		d.left = d.Timer.Now()
+	}
 	neighbours := d.neighbours()
 	vms := make([]dragonflypass.VM, 0, len(neighbours))
 	for _, m := range neighbours {
@@ -237,6 +241,13 @@
 	return d.leaving
 }
 
+// Left returns the instant at which this VM's shutdown began, zero before.
+func (d *Detector) Left() time.Time {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	return d.left
+}
+
 // Others returns the other entry VMs that are not gone, in the order of their
 // identifiers; the caller must not change the slice.
 func (d *Detector) Others() []dragonflypass.Member {
--- a/core/registrar/registrar.go
+++ b/core/registrar/registrar.go
@@ -153,5 +153,15 @@
 	return entry, ok
 }
 
+// All returns the servers that may be given work.
+func (r *Registrar) All() []dragonflypass.ServerEntry {
+	t := r.table.Load()
+	all := make([]dragonflypass.ServerEntry, 0, len(t.servers))
+	for _, entry := range t.servers {
+		all = append(all, entry)
+	}
+	return all
+}
+
 // Known returns the number of servers that may be given work.
 func (r *Registrar) Known() int { return len(r.table.Load().servers) }
--- a/core/relayer/relayer.go
+++ b/core/relayer/relayer.go
@@ -23,8 +23,15 @@
 )
 
 const (
+	// elsewhereRetry is the time after which a caller is told to come back where another VM will take it.
+	elsewhereRetry = 10 * time.Millisecond
 	// soonRetry is the time after which a caller is told to come back when no server could be reached.
 	soonRetry = 200 * time.Millisecond
+	// declineLimit is the number of servers that may decline a request before it is given up.
+	declineLimit = 3
+	// acceptTime is how long a VM takes requests after its shutdown began: the balancer needs two answers, a second
+	// apart, to turn away, and what is taken later may not end before SIGKILL.
+	acceptTime = 2800 * time.Millisecond
 	// sweepEvery is the time between two looks at the open streams.
 	sweepEvery = 100 * time.Millisecond
 )
@@ -62,8 +69,10 @@
 	Owner func(service dragonflypass.ServiceID) dragonflypass.VMID
 	// Heard takes this VM's own open streams.
 	Heard func(dragonflypass.Heartbeat)
-	// Leaving reports whether this VM's shutdown has begun.
-	Leaving func() bool
+	// Left returns the instant at which this VM's shutdown began, zero before.
+	Left func() time.Time
+	// Unreached takes a server that could not be reached.
+	Unreached func(server dragonflypass.ServerID)
 
 	sequence atomic.Uint64
 
@@ -95,8 +104,10 @@
 	to       dragonflypass.Recipient
 	// deadline is the instant by which the exchange has its final answer.
 	deadline time.Time
-	// attempts is the number of servers that the request was sent to.
+	// attempts is the number of servers that may have run the request, and declined the number of those
+	// that stated that they did not.
 	attempts int
+	declined int
 	exclude  []dragonflypass.ServerID
 	// ran is set once a server may have run the request.
 	ran bool
@@ -120,6 +131,9 @@
 // Relay serves an exchange; the error is a Refusal when nothing was passed on, else ErrBroken.
 func (r *Relayer) Relay(ctx context.Context, e *dragonflypass.Exchange, to dragonflypass.Recipient) error {
 	found, refusal := r.Router.Find(e)
+	if left := r.Left(); refusal == nil && !left.IsZero() && e.Arrived.Sub(left) > acceptTime {
+		refusal = dragonflypass.Refuse(dragonflypass.ReasonLeaving, elsewhereRetry, "the VM is leaving")
+	}
 	if refusal != nil {
 		r.Meter.Add(dragonflypass.CountRefused, 1)
 		r.Logger.Info("request refused", "id", e.ID, "reason", refusal.Reason, "detail", refusal.Detail, "routing_age", found.Age)
@@ -208,6 +222,10 @@
 	if ctx.Err() != nil || j.attempts >= j.route.Attempts || (j.ran && !j.route.Repeatable()) {
 		return false
 	}
+	// A route of a single attempt is sent once, whatever its server states.
+	if j.declined > declineLimit || (j.declined > 0 && j.route.Attempts == 1) {
+		return false
+	}
 	if !r.Retrier.Spend() {
 		r.Meter.Add(dragonflypass.CountRetryBudgetSpent, 1)
 		return false
--- a/core/relayer/stream.go
+++ b/core/relayer/stream.go
@@ -141,10 +141,11 @@
 	if errors.Is(err, dragonflypass.ErrUnavailable) {
 		return err
 	}
-	j.attempts++
 	if errors.Is(err, dragonflypass.ErrRefused) {
+		j.declined++
 		return err
 	}
+	j.attempts++
 	j.ran = true
 	if err != nil {
 		return err
--- a/core/relayer/whole.go
+++ b/core/relayer/whole.go
@@ -20,18 +20,29 @@
 
 // whole serves an exchange whose answer is passed on in one piece, once it is proved whole.
 func (r *Relayer) whole(ctx context.Context, j *job) error {
+	// last is the newest answer of a server, which says that it failed.
+	var last *answer
 	for {
 		entry, ok := r.Balancer.Pick(r.Directory.Servers(j.service), j.exclude)
+		if !ok && last != nil {
+			return r.pass(ctx, j, last)
+		}
 		if !ok {
 			return r.refusal(ctx, j, dragonflypass.ReasonNoServer, soonRetry, "no server of the service is known")
 		}
 		a, outcome, err := r.call(ctx, j, entry)
 		r.Balancer.Done(entry.ID, outcome, loadOf(a))
 		j.exclude = append(j.exclude, entry.ID)
+		if err == nil {
+			last = a
+		}
 		if err == nil && (a.head.Status < serverFault || !r.mayRetry(ctx, j)) {
 			return r.pass(ctx, j, a)
 		}
 		if err != nil && !r.goOn(ctx, j, err) {
+			if last != nil {
+				return r.pass(ctx, j, last)
+			}
 			return r.refusal(ctx, j, dragonflypass.ReasonBroken, soonRetry, "the servers did not answer")
 		}
 	}
@@ -58,9 +69,12 @@
 		j.ran = true
 		return a, assessor.Answered, nil
 	case errors.Is(err, dragonflypass.ErrUnavailable):
-		return nil, judged(ctx, assessor.Failed), err
+		if ctx.Err() == nil {
+			r.Unreached(entry.ID)
+		}
+		return nil, assessor.Unjudged, err
 	case errors.Is(err, dragonflypass.ErrRefused):
-		j.attempts++
+		j.declined++
 		return nil, assessor.Declined, err
 	}
 	j.attempts++
--- a/core/router/router.go
+++ b/core/router/router.go
@@ -12,8 +12,10 @@
 const (
 	// trustMargin is taken off the times for which a proof counts, for the work between a check and a send.
 	trustMargin = 250 * time.Millisecond
-	// soonRetry is the time after which a caller is told to come back to a VM without a trusted table.
-	soonRetry = 300 * time.Millisecond
+	// elsewhereRetry is the time after which a caller is told to come back, where another VM will take it.
+	elsewhereRetry = 10 * time.Millisecond
+	// freshAge is the age of the newest proof up to which a VM takes new connections: a proof comes each second.
+	freshAge = 2 * time.Second
 )
 
 // Router holds the route table in force.
@@ -67,6 +69,12 @@
 	return age >= 0 && age < r.Revoke-trustMargin
 }
 
+// Fresh reports whether the table was proved current lately.
+func (r *Router) Fresh() bool {
+	age := r.Age()
+	return age >= 0 && age < freshAge
+}
+
 // recent reports whether the table is so new that what it lacks does not exist.
 func (r *Router) recent() bool {
 	age := r.Age()
@@ -89,12 +97,12 @@
 func (r *Router) Find(e *dragonflypass.Exchange) (Found, *dragonflypass.Refusal) {
 	found := Found{Table: r.Current(), Age: r.Age()}
 	if found.Table == nil {
-		return found, dragonflypass.Refuse(dragonflypass.ReasonNoRouting, soonRetry, "no routing is known yet")
+		return found, dragonflypass.Refuse(dragonflypass.ReasonNoRouting, elsewhereRetry, "no routing is known yet")
 	}
 	found.Route = found.Table.Match(e.Host, e.Path)
 	if found.Route == nil {
 		if !r.recent() {
-			return found, dragonflypass.Refuse(dragonflypass.ReasonNoRouting, soonRetry, "the routing may have changed")
+			return found, dragonflypass.Refuse(dragonflypass.ReasonNoRouting, elsewhereRetry, "the routing may have changed")
 		}
 		return found, dragonflypass.Refuse(dragonflypass.ReasonNotFound, 0, "no route leads to %s%s", e.Host, e.Path)
 	}
@@ -108,12 +116,12 @@
 // authenticate finds the client account that holds the request's key.
 func (r *Router) authenticate(e *dragonflypass.Exchange, found *Found) *dragonflypass.Refusal {
 	if !r.Trusted() {
-		return dragonflypass.Refuse(dragonflypass.ReasonNoRouting, soonRetry, "keys cannot be checked: the routing is %s old", found.Age)
+		return dragonflypass.Refuse(dragonflypass.ReasonNoRouting, elsewhereRetry, "keys cannot be checked: the routing is %s old", found.Age)
 	}
 	account := found.Table.Account(sha256.Sum256([]byte(e.Credential)))
 	if account == nil {
 		if !r.recent() {
-			return dragonflypass.Refuse(dragonflypass.ReasonNoRouting, soonRetry, "the keys may have changed")
+			return dragonflypass.Refuse(dragonflypass.ReasonNoRouting, elsewhereRetry, "the keys may have changed")
 		}
 		return dragonflypass.Refuse(dragonflypass.ReasonUnauthorized, 0, "the key is missing or unknown")
 	}
--- a/experiment/simulator/simulator.go
+++ b/experiment/simulator/simulator.go
@@ -98,6 +98,7 @@
 	judge.Timer, judge.Meter, judge.Logger = p.clock, meter, logger
 	a := allocator.New()
 	a.Timer, a.Meter, a.Logger, a.Assessor = p.clock, meter, logger, judge
+	a.Unreached = func(dragonflypass.ServerID) {}
 	a.Law = func(dragonflypass.ServiceID) *dragonflypass.EngineLaw { return &p.site.Law }
 	a.Servers = func(dragonflypass.ServiceID) []dragonflypass.ServerEntry { return entries }
 	p.allocator = a
--- a/metrics.go
+++ b/metrics.go
@@ -42,6 +42,7 @@
 	CountJobShed          Counter = "jobs_shed"
 	CountJobRun           Counter = "jobs_run"
 	CountRetryBudgetSpent Counter = "retry_budget_spent"
+	CountServerProbes     Counter = "server_probes"
 	CountOwnerSilent      Counter = "owners_silent"
 	CountServerLeftOut    Counter = "servers_left_out"
 	CountStoreCalls       Counter = "store_calls"
--- a/ports.go
+++ b/ports.go
@@ -37,6 +37,7 @@
 	JobOrder     JobKind = "order"
 	JobRouting   JobKind = "routing"
 	JobRegistry  JobKind = "registry"
+	JobProbe     JobKind = "probe"
 )
 
 // Pool runs jobs on a fixed number of workers.
@@ -79,6 +80,8 @@
 	// Send passes the exchange on and returns the answer once its head has come.
 	// Errors: ErrUnavailable (nothing was sent), a ServerRefusal, or ErrUncertain.
 	Send(ctx context.Context, delivery Delivery) (Reply, error)
+	// Probe makes a connection to the server and closes it.
+	Probe(ctx context.Context, server netip.AddrPort) error
 	// Usage returns what the server at the address says of its memory and requests, with a lag.
 	Usage(ctx context.Context, server netip.AddrPort) (ServerUsage, error)
 	// Reserve sets memory aside at the server for the span, or renews the reservation.
