Take an entry for lapsed only after an absence of the store long enough for that

Entries lapse after three heartbeats, so an absence counts from 3 s. The registry is read each 500 ms.

--- a/core/composer/relay.go
+++ b/core/composer/relay.go
@@ -73,7 +73,7 @@
 	routingPeriod = 100 * time.Millisecond
 	routingWait   = time.Second
 	// registryPeriod paces the reads of the registry, whose records come all the time.
-	registryPeriod = 700 * time.Millisecond
+	registryPeriod = 500 * time.Millisecond
 	// patience is the age of the newest proof from which a VM reads the store by itself.
 	patience = 1500 * time.Millisecond
 	// topicReaders is the number of VMs that read a topic for the others, so that the loss of one is not felt.
--- a/core/follower/follower.go
+++ b/core/follower/follower.go
@@ -10,10 +10,11 @@
 )
 
 const (
-	// callMargin is the time beyond its wait that a read of the store may take.
-	callMargin = 700 * time.Millisecond
-	// gapTime is the time without a proof after which the store counts as having been away.
-	gapTime = 1500 * time.Millisecond
+	// callMargin is the time beyond its wait that a read of the store may take; a slow store takes 250 ms.
+	callMargin = 500 * time.Millisecond
+	// gapTime is the time without a proof after which the store counts as having been away: entries lapse
+	// after three heartbeats, which take longer.
+	gapTime = 3 * time.Second
 	// droppedLimit is the number of dropped keys that are remembered for other VMs.
 	droppedLimit = 512
 )
