Keep the owner's knowledge when machines are stopped in turn

Now: settled VMs own, by rendezvous hashing; waiting requests move on; open streams are told to a new owner at once, with the time that their prompts still need; a new owner waits 250 ms with long prompts; heartbeats reconcile permits; overdue prompts count on.

--- a/adapter/assembler/relay.go
+++ b/adapter/assembler/relay.go
@@ -139,6 +139,7 @@
 func newRelayNode(lifecycle fx.Lifecycle, settings *loader.RelaySettings, core *composer.Relay, metrics *counter.Counter, parts relayParts) *RelayNode {
 	n := &RelayNode{Settings: settings, Core: core, Metrics: metrics, parts: parts}
 	n.callers = &platform.Callers{Relay: core.Relayer, Limits: n.limits, Closing: func() bool { return !core.Ready() }, Meter: metrics, Body: settings.Limits.Body}
+	parts.Client.Lost = core.Detector.Doubt
 	n.peers = messenger.NewServer()
 	n.peers.Pool, n.peers.Meter, n.peers.Handler = parts.Pool, metrics, core.Handler()
 	lifecycle.Append(fx.Hook{OnStart: n.start, OnStop: n.stop})
@@ -206,7 +207,7 @@
 
 // stop has the balancer turn away, lets the requests in progress end, then ends the parts.
 func (n *RelayNode) stop(ctx context.Context) error {
-	n.Core.Detector.Leave(ctx)
+	n.Core.Leave(ctx)
 	n.parts.Logger.Info("stopping", "requests", n.callers.Busy())
 	began := time.Now()
 	grace := time.Duration(n.Settings.Times.Grace) - graceMargin
--- a/adapter/loader/relay.go
+++ b/adapter/loader/relay.go
@@ -123,7 +123,7 @@
 	s.Workers = cmp.Or(s.Workers, 16)
 	fillSpan(&s.Limits.Header, 5*time.Second)
 	fillSpan(&s.Limits.Idle, time.Minute)
-	fillSpan(&s.Times.Heartbeat, 500*time.Millisecond)
+	fillSpan(&s.Times.Heartbeat, 300*time.Millisecond)
 }
 
 // check finds the faults that concern several settings together.
--- a/adapter/messenger/client.go
+++ b/adapter/messenger/client.go
@@ -8,6 +8,7 @@
 	"net/netip"
 	"strings"
 	"sync"
+	"syscall"
 	"time"
 
 	"github.com/coder/websocket"
@@ -34,6 +35,8 @@
 	// TLS is set when the connections are encrypted.
 	TLS   *tls.Config
 	Meter dragonflypass.Meter
+	// Lost is called when the connection to an address has ended.
+	Lost func(netip.AddrPort)
 
 	mutex   sync.Mutex
 	callers map[netip.AddrPort]*caller
@@ -43,7 +46,9 @@
 var _ dragonflypass.Peers = (*Client)(nil)
 
 // NewClient returns a client without connections.
-func NewClient() *Client { return &Client{callers: make(map[netip.AddrPort]*caller)} }
+func NewClient() *Client {
+	return &Client{Lost: func(netip.AddrPort) {}, callers: make(map[netip.AddrPort]*caller)}
+}
 
 // caller is the asking side of one connection.
 type caller struct {
@@ -83,7 +88,10 @@
 		return k, nil
 	}
 	socket, err := c.dial(ctx, to.Peer)
-	if err != nil {
+	switch {
+	case errors.Is(err, syscall.ECONNREFUSED):
+		return nil, eris.Wrap(dragonflypass.ErrRefused, err.Error())
+	case err != nil:
 		return nil, eris.Wrap(dragonflypass.ErrUnavailable, err.Error())
 	}
 	k = &caller{link: newLink(socket, c.Meter), pending: make(map[uint64]chan answer)}
@@ -99,10 +107,23 @@
 	}
 	c.callers[to.Peer] = k
 	go k.link.write()
-	go k.receive()
+	go func() {
+		k.receive()
+		c.lost(to.Peer)
+	}()
 	return k, nil
 }
 
+// lost tells of an ended connection, unless this side ended all.
+func (c *Client) lost(address netip.AddrPort) {
+	c.mutex.Lock()
+	closed := c.closed
+	c.mutex.Unlock()
+	if !closed {
+		c.Lost(address)
+	}
+}
+
 func (c *Client) dial(ctx context.Context, address netip.AddrPort) (*websocket.Conn, error) {
 	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
 	defer cancel()
--- a/adapter/messenger/message.go
+++ b/adapter/messenger/message.go
@@ -75,6 +75,7 @@
 	Only     string   `cbor:"only,omitempty"`
 	Group    uint64   `cbor:"group,omitempty"`
 	Service  string   `cbor:"service,omitempty"`
+	ID       string   `cbor:"id,omitempty"`
 	Level    int      `cbor:"level,omitempty"`
 	Gap      int64    `cbor:"gap,omitempty"`
 }
@@ -116,6 +117,7 @@
 	Zone    string `cbor:"zone"`
 	Peer    string `cbor:"peer"`
 	Leaving bool   `cbor:"leaving,omitempty"`
+	Settled bool   `cbor:"settled,omitempty"`
 }
 
 type beat struct {
@@ -180,6 +182,7 @@
 	Gap       int64    `cbor:"gap,omitempty"`
 	Prompt    int      `cbor:"prompt,omitempty"`
 	Prefilled bool     `cbor:"prefilled,omitempty"`
+	Left      int64    `cbor:"left,omitempty"`
 	Helpers   []string `cbor:"helpers,omitempty"`
 }
 
@@ -262,7 +265,7 @@
 		Pace: int64(r.Pace), Fingerprint: toFingerprint(r.Fingerprint),
 		Deadline: toLeft(r.Deadline, now), Latest: toLeft(r.LatestStart, now), Target: toLeft(r.Target, now),
 		Breaks: r.Breaks, Only: string(r.Only), Group: r.Group,
-		Service: string(r.Service), Level: r.Priority, Gap: int64(r.Pause),
+		Service: string(r.Service), ID: r.ID, Level: r.Priority, Gap: int64(r.Pause),
 	}
 	for _, server := range r.Exclude {
 		w.Exclude = append(w.Exclude, string(server))
@@ -278,7 +281,7 @@
 		Pace: time.Duration(w.Pace), Fingerprint: w.Fingerprint.fingerprint(),
 		Deadline: fromLeft(w.Deadline, now), LatestStart: fromLeft(w.Latest, now), Target: fromLeft(w.Target, now),
 		Breaks: w.Breaks, Only: dragonflypass.ServerID(w.Only), Group: w.Group,
-		Service: dragonflypass.ServiceID(w.Service), Priority: w.Level, Pause: time.Duration(w.Gap),
+		Service: dragonflypass.ServiceID(w.Service), ID: w.ID, Priority: w.Level, Pause: time.Duration(w.Gap),
 	}
 	for _, server := range w.Exclude {
 		r.Exclude = append(r.Exclude, dragonflypass.ServerID(server))
@@ -366,19 +369,19 @@
 }
 
 func toVM(v dragonflypass.VM) vm {
-	return vm{ID: string(v.ID), Zone: string(v.Zone), Peer: v.Peer.String(), Leaving: v.Leaving}
+	return vm{ID: string(v.ID), Zone: string(v.Zone), Peer: v.Peer.String(), Leaving: v.Leaving, Settled: v.Settled}
 }
 
 func (w vm) vm() (dragonflypass.VM, error) {
 	peer, err := parseAddress(w.Peer)
-	return dragonflypass.VM{ID: dragonflypass.VMID(w.ID), Zone: dragonflypass.AvailabilityZone(w.Zone), Peer: peer, Leaving: w.Leaving}, err
+	return dragonflypass.VM{ID: dragonflypass.VMID(w.ID), Zone: dragonflypass.AvailabilityZone(w.Zone), Peer: peer, Leaving: w.Leaving, Settled: w.Settled}, err
 }
 
 func toHeld(h dragonflypass.HeldStream, now time.Time) held {
 	w := held{
 		Stream: toStream(h.Stream), Server: string(h.Server), Tokens: h.Tokens, Fingerprint: toFingerprint(h.Fingerprint),
 		Rank: uint8(h.Rank), Account: string(h.Account), Deadline: toLeft(h.Deadline, now),
-		Service: string(h.Service), Gap: int64(h.Pause), Prompt: h.Prompt, Prefilled: h.Prefilled,
+		Service: string(h.Service), Gap: int64(h.Pause), Prompt: h.Prompt, Prefilled: h.Prefilled, Left: int64(h.Left),
 	}
 	for _, server := range h.Helpers {
 		w.Helpers = append(w.Helpers, string(server))
@@ -390,7 +393,7 @@
 	h := dragonflypass.HeldStream{
 		Stream: w.Stream.id(), Server: dragonflypass.ServerID(w.Server), Tokens: w.Tokens, Fingerprint: w.Fingerprint.fingerprint(),
 		Rank: dragonflypass.Rank(w.Rank), Account: dragonflypass.AccountID(w.Account), Deadline: fromLeft(w.Deadline, now),
-		Service: dragonflypass.ServiceID(w.Service), Pause: time.Duration(w.Gap), Prompt: w.Prompt, Prefilled: w.Prefilled,
+		Service: dragonflypass.ServiceID(w.Service), Pause: time.Duration(w.Gap), Prompt: w.Prompt, Prefilled: w.Prefilled, Left: time.Duration(w.Left),
 	}
 	for _, server := range w.Helpers {
 		h.Helpers = append(h.Helpers, dragonflypass.ServerID(server))
--- a/adapter/messenger/messenger_test.go
+++ b/adapter/messenger/messenger_test.go
@@ -201,7 +201,8 @@
 	c := qt.New(t)
 	client, vm := connect(t, newAnswerer(), nil)
 	_, err := client.Exchange(t.Context(), dragonflypass.VM{Peer: netip.MustParseAddrPort("127.0.0.1:1")}, dragonflypass.Heartbeat{})
-	c.Check(err, qt.ErrorIs, dragonflypass.ErrUnavailable)
+	// Nothing listens there, which says more than that it could not be reached.
+	c.Check(err, qt.ErrorIs, dragonflypass.ErrRefused)
 	client.Credential = "wrong"
 	_, err = client.Exchange(t.Context(), vm, dragonflypass.Heartbeat{From: vm})
 	c.Check(err, qt.ErrorIs, dragonflypass.ErrUnavailable)
--- a/core/acquirer/acquirer.go
+++ b/core/acquirer/acquirer.go
@@ -12,7 +12,9 @@
 
 const (
 	// silentTime is how long an owner that did not answer is not asked.
-	silentTime = 500 * time.Millisecond
+	silentTime = time.Second
+	// ownerTries is the number of owners that are asked before this VM decides by itself.
+	ownerTries = 3
 	// callTimeout bounds one message to an owner.
 	callTimeout = time.Second
 	// releaseTries is the number of attempts to return a permit; after them its lease runs out.
@@ -40,8 +42,8 @@
 	Logger  dragonflypass.Logger
 	// Local is the owner's side on this VM.
 	Local dragonflypass.Owner
-	// Owner returns the VM that owns the servers of the service.
-	Owner func(service dragonflypass.ServiceID) dragonflypass.VM
+	// Owners returns the VMs that are to own the servers of the service, each where those before it do not answer.
+	Owners func(service dragonflypass.ServiceID) []dragonflypass.VM
 	// Silent is called when an owner did not answer.
 	Silent func()
 
@@ -62,33 +64,62 @@
 	return !now.Before(a.silent[owner])
 }
 
-// noteSilent has the owner not be asked for a time.
-func (a *Acquirer) noteSilent(owner dragonflypass.VMID) {
+// skip has the owner not be asked for a time.
+func (a *Acquirer) skip(owner dragonflypass.VMID) {
 	now := a.Timer.Now()
 	a.mutex.Lock()
+	defer a.mutex.Unlock()
 	a.silent[owner] = now.Add(silentTime)
-	a.mutex.Unlock()
-	a.Silent()
 }
 
 // Acquire waits for a permit; the error is a Refusal or that of ctx.
 func (a *Acquirer) Acquire(ctx context.Context, request dragonflypass.PermitRequest) (dragonflypass.Permit, error) {
-	owner := a.Owner(request.Service)
-	if owner.ID != a.Self && a.answers(owner.ID) {
-		permit, err := a.remote(ctx, owner, request)
+	permit, err := a.acquire(ctx, request)
+	permit.Service = request.Service
+	return permit, err
+}
+
+func (a *Acquirer) acquire(ctx context.Context, request dragonflypass.PermitRequest) (dragonflypass.Permit, error) {
+	for range ownerTries {
+		owner := a.Owner(request.Service)
+		permit, err := a.ask(ctx, owner, request)
 		if err == nil || ctx.Err() != nil {
 			return permit, err
 		}
-		if refusal, ok := dragonflypass.AsRefusal(err); ok {
-			return permit, refusal
+		refusal, refused := dragonflypass.AsRefusal(err)
+		switch {
+		case refused && refusal.Reason == dragonflypass.ReasonMoved:
+			a.skip(owner.ID)
+		case refused || owner.ID == a.Self:
+			return permit, err
+		default:
+			a.skip(owner.ID)
+			a.Silent()
+			a.Meter.Add(dragonflypass.CountOwnerSilent, 1)
+			a.Logger.Warn("owner silent", "owner", owner.ID, "service", request.Service, "id", request.ID, "error", err)
 		}
-		a.noteSilent(owner.ID)
-		a.Meter.Add(dragonflypass.CountOwnerSilent, 1)
-		a.Logger.Warn("owner silent", "owner", owner.ID, "service", request.Service, "stream", request.Stream.Sequence, "error", err)
 	}
 	return a.local(ctx, request)
 }
 
+// ask asks one owner, which may be this VM.
+func (a *Acquirer) ask(ctx context.Context, owner dragonflypass.VM, request dragonflypass.PermitRequest) (dragonflypass.Permit, error) {
+	if owner.ID == a.Self {
+		return a.local(ctx, request)
+	}
+	return a.remote(ctx, owner, request)
+}
+
+// Owner returns the VM that this one asks for permits of the service: the first that answers, or itself.
+func (a *Acquirer) Owner(service dragonflypass.ServiceID) dragonflypass.VM {
+	for _, vm := range a.Owners(service) {
+		if vm.ID == a.Self || a.answers(vm.ID) {
+			return vm
+		}
+	}
+	return dragonflypass.VM{ID: a.Self}
+}
+
 // remote asks the owner, which may have the request wait for as long as it is heard.
 func (a *Acquirer) remote(ctx context.Context, owner dragonflypass.VM, request dragonflypass.PermitRequest) (dragonflypass.Permit, error) {
 	ctx, stop := a.Members.Attend(ctx, owner.ID)
@@ -126,24 +157,37 @@
 
 // Prefilled notes that the permit's prompt has been processed.
 func (a *Acquirer) Prefilled(permit dragonflypass.Permit) {
-	if permit.Owner == a.Self {
-		a.Local.Prefilled(permit.Stream)
-		return
+	for _, id := range a.concerned(permit) {
+		if id == a.Self {
+			a.Local.Prefilled(permit.Stream)
+			continue
+		}
+		a.later(id, 1, func(ctx context.Context, owner dragonflypass.VM) error {
+			return a.Peers.Prefilled(ctx, owner, permit.Stream)
+		})
 	}
-	a.later(permit.Owner, 1, func(ctx context.Context, owner dragonflypass.VM) error {
-		return a.Peers.Prefilled(ctx, owner, permit.Stream)
-	})
 }
 
 // Release returns the permit.
 func (a *Acquirer) Release(permit dragonflypass.Permit, release dragonflypass.PermitRelease) {
-	if permit.Owner == a.Self {
-		a.Local.Release(release)
-		return
+	for _, id := range a.concerned(permit) {
+		if id == a.Self {
+			a.Local.Release(release)
+			continue
+		}
+		a.later(id, releaseTries, func(ctx context.Context, owner dragonflypass.VM) error {
+			return a.Peers.Release(ctx, owner, release)
+		})
 	}
-	a.later(permit.Owner, releaseTries, func(ctx context.Context, owner dragonflypass.VM) error {
-		return a.Peers.Release(ctx, owner, release)
-	})
+}
+
+// concerned returns the VMs that count the permit: its owner, and the one that has taken over since.
+func (a *Acquirer) concerned(permit dragonflypass.Permit) []dragonflypass.VMID {
+	now := a.Owner(permit.Service).ID
+	if now == permit.Owner {
+		return []dragonflypass.VMID{now}
+	}
+	return []dragonflypass.VMID{permit.Owner, now}
 }
 
 // later has a worker tell the owner, again when it fails.
--- a/core/allocator/allocator.go
+++ b/core/allocator/allocator.go
@@ -16,8 +16,18 @@
 	transit = 2 * time.Millisecond
 	// leaseTime is how long a permit outlives the last word of the entry VM that holds it.
 	leaseTime = 4 * time.Second
-	// lateTime is how long a permit whose prompt is not reported as processed counts as being read after the predicted end.
-	lateTime = 2 * time.Second
+	// overdueTime is how long after the predicted end a prompt may be processed without being overdue, and
+	// overduePart what an overdue one is expected to take still, as a part of the time taken so far.
+	overdueTime = 100 * time.Millisecond
+	overduePart = 0.25
+	// mispredicted is the difference between the predicted and the true time of a first token that is worth a line.
+	mispredicted = 200 * time.Millisecond
+	// quietTime is the time without requests after which a VM counts as a new owner, and calmTime is how long a new
+	// owner grants no long prompts, until the other VMs have told of their streams.
+	quietTime = 2 * time.Second
+	calmTime  = 250 * time.Millisecond
+	// settleTime is how long after its grant a permit may be missing from its VM's heartbeats.
+	settleTime = time.Second
 	// sweepEvery is the time between two looks at waiting requests and permits.
 	sweepEvery = 100 * time.Millisecond
 	// soonRetry is the time after which a refused caller is told to come back.
@@ -113,6 +123,11 @@
 		told(dragonflypass.Permit{}, dragonflypass.Refuse(dragonflypass.ReasonNoServer, soonRetry, "service %s has no known engine", request.Service))
 		return func() {}
 	}
+	if now.Sub(c.asked) > quietTime {
+		// This VM has not been the owner lately, so that it does not know of all streams yet.
+		c.calm = now.Add(calmTime)
+	}
+	c.asked = now
 	w.reading = c.law.Reading(request.PromptTokens)
 	c.waiting = append(c.waiting, w)
 	if c.short(w) {
@@ -142,6 +157,10 @@
 		return
 	}
 	p.prefilled = true
+	if off := now.Sub(p.first); off.Abs() > mispredicted {
+		a.Logger.Info("prompt processed off its time", "id", p.request.ID, "server", p.server.entry.ID, "helpers", len(p.helpers), "off", off,
+			"tokens", p.request.PromptTokens)
+	}
 	at := now.Add(-transit)
 	for _, s := range p.servers() {
 		s.engine.Advance(at)
@@ -201,6 +220,25 @@
 	}
 }
 
+// Moved sends a request on to the VM that has taken over.
+func Moved() *dragonflypass.Refusal {
+	return dragonflypass.Refuse(dragonflypass.ReasonMoved, soonRetry, "the owner is leaving")
+}
+
+// Leave sends the waiting requests on to the VM that takes over from this one.
+func (a *Allocator) Leave() {
+	a.mutex.Lock()
+	var answers []told
+	for _, c := range a.cells {
+		for _, w := range c.waiting {
+			answers = append(answers, told{waiting: w, err: Moved()})
+		}
+		c.waiting = nil
+	}
+	a.mutex.Unlock()
+	tell(answers)
+}
+
 // Recheck refuses the waiting requests whose service has no server left.
 func (a *Allocator) Recheck() {
 	now := a.Timer.Now()
@@ -224,6 +262,9 @@
 			a.Meter.Add(dragonflypass.CountPermitExpired, 1)
 		}
 	}
+	for _, p := range a.permits {
+		a.overdue(p, now)
+	}
 	var answers []told
 	for _, c := range a.cells {
 		if len(c.waiting) > 0 {
@@ -234,7 +275,26 @@
 	tell(answers)
 }
 
-// Heard notes the streams that an entry VM has open.
+// overdue has a prompt that is not known to be processed when predicted count as being processed still; it is
+// called with the mutex held.
+func (a *Allocator) overdue(p *permit, now time.Time) {
+	if p.prefilled || now.Sub(p.first) < overdueTime {
+		return
+	}
+	left := max(overdueTime, time.Duration(overduePart*float64(now.Sub(p.granted))))
+	p.first = now.Add(left)
+	for i, s := range p.servers() {
+		s.engine.Advance(now)
+		if !s.engine.Reading(p.request.Stream) {
+			s.engine.Add(predictor.Part(p.request.Stream, p.request.PromptTokens, p.parts, i > 0), now)
+			s.engine.Trim(p.request.Stream, left)
+		}
+	}
+	p.server.engine.Write(p.writer(p.first), now)
+}
+
+// Heard notes the streams that an entry VM has open, takes over those that another owner granted and gives
+// up the permits of those that it no longer has.
 func (a *Allocator) Heard(beat dragonflypass.Heartbeat) {
 	now := a.Timer.Now()
 	a.mutex.Lock()
@@ -248,6 +308,15 @@
 	for _, held := range beat.Held {
 		a.adopt(held, now)
 	}
+	for id, p := range a.permits {
+		if id.VM != beat.From.ID || p.heard.Equal(now) {
+			continue
+		}
+		if id.Incarnation != beat.Incarnation || now.Sub(p.granted) > settleTime {
+			a.drop(p, now)
+			a.Meter.Add(dragonflypass.CountPermitExpired, 1)
+		}
+	}
 }
 
 // adopt takes over a stream that another owner granted; it is called with the mutex held.
@@ -262,7 +331,7 @@
 	}
 	p := &permit{
 		cell: c, server: c.servers[held.Server], parts: 1 + len(held.Helpers), tokens: held.Prompt + c.law.Answer,
-		granted: now, first: now, prefilled: held.Prefilled, heard: now,
+		granted: now, first: now.Add(held.Left), prefilled: held.Prefilled, heard: now,
 		request: dragonflypass.PermitRequest{
 			Stream: held.Stream, Service: held.Service, PromptTokens: held.Prompt, Pause: held.Pause, Deadline: held.Deadline,
 			Account: held.Account, Fingerprint: held.Fingerprint,
@@ -274,7 +343,14 @@
 		}
 	}
 	a.permits[held.Stream] = p
+	p.short = held.Prompt > 0 && c.law.Reading(held.Prompt) <= time.Duration(min(c.kept, partsLimit))*shortPart
+	if p.short {
+		c.shorts++
+	}
 	a.place(p, now)
+	for _, s := range p.servers() {
+		s.engine.Trim(held.Stream, held.Left)
+	}
 }
 
 // place counts the permit at its servers; it is called with the mutex held.
--- a/core/allocator/cell.go
+++ b/core/allocator/cell.go
@@ -65,6 +65,9 @@
 	shrunk              time.Time
 	shortLoad, longLoad load
 	wake                func()
+	// asked is the instant of the last request, and calm the one up to which no long prompt is granted.
+	asked time.Time
+	calm  time.Time
 
 	// options is kept for its memory.
 	options []option
--- a/core/allocator/place.go
+++ b/core/allocator/place.go
@@ -144,7 +144,7 @@
 		return told{waiting: w, err: dragonflypass.Refuse(dragonflypass.ReasonNoServer, soonRetry, "no server of the service can run the request")}, true
 	}
 	short := c.short(w)
-	if !short && *tries == 0 {
+	if !short && (*tries == 0 || now.Before(c.calm)) {
 		return told{}, false
 	}
 	best, ok := c.best(w, usable, short, now)
@@ -338,6 +338,9 @@
 		s.outlook = s.engine.Outlook(now.Add(transit))
 	}
 	a.Meter.Add(dragonflypass.CountPermitGranted, 1)
+	a.Logger.Info("permit granted", "id", w.request.ID, "server", p.server.entry.ID, "helpers", len(p.helpers), "short", p.short,
+		"waited", now.Sub(w.since), "first", chosen.done.Sub(now), "streams", p.server.streams, "harmed", chosen.harmed,
+		"kept", c.kept, "servers", len(c.ranked), "waiting", len(c.waiting))
 	granted := dragonflypass.Permit{
 		Stream: w.request.Stream, Owner: a.Self, Server: p.server.entry.ID, Address: p.server.entry.Address,
 		Priority: -1, First: chosen.done.Sub(now),
--- a/core/assessor/assessor.go
+++ b/core/assessor/assessor.go
@@ -14,6 +14,8 @@
 	firstOut = 500 * time.Millisecond
 	// longestOut bounds the time for which a server is left out.
 	longestOut = 8 * time.Second
+	// oneFailure is the time in which several failed requests count as one failure of the server.
+	oneFailure = 300 * time.Millisecond
 	// trialTime is how long one request may try a server before another one may.
 	trialTime = 2 * time.Second
 )
@@ -49,6 +51,8 @@
 	fails int
 	// unreached is set from a failed connection until a probe succeeds.
 	unreached bool
+	// failed is the instant of the last failure.
+	failed time.Time
 	// out is the instant up to which the server is left out.
 	out time.Time
 	// trial is the instant up to which one request tries the server after its time out.
@@ -163,6 +167,10 @@
 		r.unreached = true
 		return 0
 	}
+	if now.Sub(r.failed) < oneFailure {
+		return 0
+	}
+	r.failed = now
 	r.fails++
 	if r.fails < failLimit {
 		return 0
--- a/core/composer/composer.go
+++ b/core/composer/composer.go
@@ -204,7 +204,10 @@
 
 // Handler answers the other entry VMs.
 func (n *Node) Handler() dragonflypass.PeerHandler {
-	return &handler.Handler{Owner: n.Scheduler, Detector: n.Detector, Configurer: n.Configurer, Guard: n.Guard}
+	return &handler.Handler{
+		Owner: n.Scheduler, Detector: n.Detector, Configurer: n.Configurer, Guard: n.Guard,
+		Refuse: func() *dragonflypass.Refusal { return nil },
+	}
 }
 
 // Run runs the parts until ctx ends; the pool and the timer service must be running.
--- a/core/composer/relay.go
+++ b/core/composer/relay.go
@@ -14,6 +14,7 @@
 	"github.com/dragonflypass/dragonflypass/core/detector"
 	"github.com/dragonflypass/dragonflypass/core/follower"
 	"github.com/dragonflypass/dragonflypass/core/handler"
+	"github.com/dragonflypass/dragonflypass/core/locker"
 	"github.com/dragonflypass/dragonflypass/core/prober"
 	"github.com/dragonflypass/dragonflypass/core/quarantiner"
 	"github.com/dragonflypass/dragonflypass/core/registrar"
@@ -66,6 +67,10 @@
 	Relayer   *relayer.Relayer
 	Retrier   *retrier.Retrier
 	Guard     *quarantiner.Quarantiner
+
+	mutex locker.Mutex
+	// owned holds the owner of each service as last seen.
+	owned map[dragonflypass.ServiceID]dragonflypass.VMID
 }
 
 const (
@@ -84,12 +89,16 @@
 
 // ComposeRelay builds a node that relays exchanges; nothing runs before Run.
 func ComposeRelay(options RelayOptions, ports RelayPorts) *Relay {
-	n := &Relay{Options: options, Ports: ports, Retrier: retrier.New(), Guard: quarantiner.New()}
+	n := &Relay{
+		Options: options, Ports: ports, Retrier: retrier.New(), Guard: quarantiner.New(),
+		mutex: locker.Mutex{Order: locker.Configuration}, owned: make(map[dragonflypass.ServiceID]dragonflypass.VMID),
+	}
 	n.Guard.Timer, n.Guard.Meter, n.Guard.Logger = ports.Timer, ports.Meter, ports.Logger
 	n.composeMembers()
 	n.composeTopics()
 	n.composeServers()
 	n.composeRelayer()
+	n.Detector.Subscribe(n.succeed)
 	return n
 }
 
@@ -153,7 +162,7 @@
 
 	q := acquirer.New()
 	q.Self, q.Timer, q.Pool, q.Peers, q.Members, q.Meter, q.Logger = o.Self.ID, p.Timer, p.Pool, p.Peers, n.Detector, p.Meter, p.Logger
-	q.Local, q.Owner, q.Silent = a, n.owner, r.DoubtAll
+	q.Local, q.Owners, q.Silent = a, n.owners, r.DoubtAll
 	n.Acquirer = q
 }
 
@@ -163,7 +172,8 @@
 	l.Self, l.Incarnation, l.Timer, l.Backend = o.Self, o.Incarnation, p.Timer, p.Backend
 	l.Meter, l.Logger, l.Router, l.Directory, l.Balancer = p.Meter, p.Logger, n.Router, n.Registrar, n.Balancer
 	l.Permits, l.Retrier, l.Left, l.Unreached = n.Acquirer, n.Retrier, n.Detector.Left, n.unreached
-	l.Owner = func(service dragonflypass.ServiceID) dragonflypass.VMID { return n.owner(service).ID }
+	l.Prober, l.Assessor = n.Prober, n.Assessor
+	l.Owner = func(service dragonflypass.ServiceID) dragonflypass.VMID { return n.Acquirer.Owner(service).ID }
 	l.Heard = n.Allocator.Heard
 	n.Relayer = l
 }
@@ -176,12 +186,37 @@
 	}
 }
 
-// owner returns the VM that owns the servers of the service: the winner of rendezvous hashing among the live VMs.
-func (n *Relay) owner(service dragonflypass.ServiceID) dragonflypass.VM {
-	if vm, ok := detector.Winner(string(service), n.Detector.Live()); ok {
-		return vm
+// owners returns the VMs that are to own the servers of a service, each where those before it do not answer.
+func (n *Relay) owners(service dragonflypass.ServiceID) []dragonflypass.VM {
+	return n.Detector.Heirs(string(service))
+}
+
+// succeed tells a new owner of this VM's open streams at once.
+func (n *Relay) succeed() {
+	table := n.Router.Current()
+	if table == nil {
+		return
+	}
+	for service, policy := range table.Services {
+		if policy.Engine == nil {
+			continue
+		}
+		owner := n.Acquirer.Owner(service)
+		n.mutex.Lock()
+		before := n.owned[service]
+		n.owned[service] = owner.ID
+		n.mutex.Unlock()
+		switch {
+		case before == owner.ID:
+		case owner.ID == n.Options.Self.ID:
+			n.Relayer.Claim()
+		default:
+			n.Detector.TellOne(owner)
+		}
+		if before != owner.ID {
+			n.Ports.Logger.Info("owner", "service", service, "owner", owner.ID, "before", before)
+		}
 	}
-	return n.Options.Self
 }
 
 // answer returns this VM's marks with what a VM with the other marks lacks.
@@ -250,7 +285,21 @@
 
 // Handler answers the other entry VMs.
 func (n *Relay) Handler() dragonflypass.PeerHandler {
-	return &handler.Handler{Owner: n.Allocator, Detector: n.Detector, Guard: n.Guard}
+	return &handler.Handler{Owner: n.Allocator, Detector: n.Detector, Guard: n.Guard, Refuse: n.refuse}
+}
+
+// refuse sends requests for permits on to other VMs while this one is leaving.
+func (n *Relay) refuse() *dragonflypass.Refusal {
+	if !n.Detector.Leaving() {
+		return nil
+	}
+	return allocator.Moved()
+}
+
+// Leave takes the VM out of service: it tells the other VMs, and sends on what waits here for permits.
+func (n *Relay) Leave(ctx context.Context) {
+	n.Detector.Leave(ctx)
+	n.Allocator.Leave()
 }
 
 // Ready reports whether the node can serve.
--- a/core/detector/detector.go
+++ b/core/detector/detector.go
@@ -1,6 +1,7 @@
 package detector
 
 import (
+	"cmp"
 	"context"
 	"net/netip"
 	"slices"
@@ -18,6 +19,8 @@
 	goneIntervals = 10
 	// remoteNeighbours is the number of VMs of each other zone with which heartbeats are exchanged.
 	remoteNeighbours = 2
+	// settleTime is how long a VM is up before it takes over from others, longer than a restart in turn takes.
+	settleTime = 5 * time.Second
 	// smallFleet is the number of other VMs up to which each exchanges heartbeats with all.
 	smallFleet = 16
 	// zoneCost lengthens the heartbeat interval for each live VM of the zone, to bound what control costs.
@@ -62,6 +65,7 @@
 	members   map[dragonflypass.VMID]*member
 	leaving   bool
 	left      time.Time
+	settled   bool
 	listeners []func()
 	// others is the table as last returned by Others, nil when it has changed since.
 	others []dragonflypass.Member
@@ -108,6 +112,8 @@
 // Run exchanges heartbeats until ctx ends.
 func (d *Detector) Run(ctx context.Context) {
 	d.seed()
+	stopSettle := d.Timer.At(dragonflypass.JobMembers, d.Timer.Now().Add(settleTime), d.settle)
+	defer stopSettle()
 	stopBeat := d.Timer.Every(dragonflypass.JobMembers, d.Interval/4, d.Tick)
 	defer stopBeat()
 	stopList := d.Timer.Every(dragonflypass.JobMembers, d.List, d.readList)
@@ -211,6 +217,16 @@
 	}
 }
 
+// settle tells the other VMs that this one may take over from others.
+func (d *Detector) settle(context.Context) {
+	d.mutex.Lock()
+	d.settled = true
+	self := dragonflypass.Member{VM: d.self(), Incarnation: d.Incarnation, State: dragonflypass.MemberLive}
+	d.mutex.Unlock()
+	d.notify([]dragonflypass.Member{self})
+	d.Tell()
+}
+
 // Leave marks this VM as leaving and tells its neighbours at once.
 func (d *Detector) Leave(ctx context.Context) {
 	d.mutex.Lock()
@@ -305,6 +321,47 @@
 	return ctx, func() { cancel(context.Canceled) }
 }
 
+// Heirs returns the VMs that may be given work, this one included unless it is leaving, in the order in which
+// they are to own what the key names: settled ones as rendezvous hashing ranks them, then the others, those that
+// were started first before others.
+func (d *Detector) Heirs(key string) []dragonflypass.VM {
+	var heirs []heir
+	d.mutex.Lock()
+	if !d.leaving {
+		heirs = append(heirs, heir{vm: d.self(), started: d.Incarnation})
+	}
+	for _, m := range d.members {
+		if m.State == dragonflypass.MemberLive {
+			heirs = append(heirs, heir{vm: m.VM, started: m.Incarnation})
+		}
+	}
+	d.mutex.Unlock()
+	slices.SortFunc(heirs, func(a, b heir) int { return a.compare(b, key) })
+	vms := make([]dragonflypass.VM, len(heirs))
+	for i := range heirs {
+		vms[i] = heirs[i].vm
+	}
+	return vms
+}
+
+// heir is a VM that may own something.
+type heir struct {
+	vm      dragonflypass.VM
+	started uint64
+}
+
+func (h heir) compare(other heir, key string) int {
+	switch {
+	case h.vm.Settled && !other.vm.Settled:
+		return -1
+	case !h.vm.Settled && other.vm.Settled:
+		return 1
+	case h.vm.Settled:
+		return cmp.Compare(Score(key, other.vm.ID), Score(key, h.vm.ID))
+	}
+	return cmp.Or(cmp.Compare(h.started, other.started), cmp.Compare(h.vm.ID, other.vm.ID))
+}
+
 // Member returns what is known of the VM, this one included.
 func (d *Detector) Member(id dragonflypass.VMID) (dragonflypass.VM, bool) {
 	if id == d.Self.ID {
@@ -325,7 +382,7 @@
 	defer d.mutex.Unlock()
 	var live []dragonflypass.VM
 	if !d.leaving {
-		live = append(live, d.Self)
+		live = append(live, d.self())
 	}
 	for _, m := range d.members {
 		if m.State == dragonflypass.MemberLive {
--- a/core/detector/exchange.go
+++ b/core/detector/exchange.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"errors"
+	"net/netip"
 	"slices"
 	"strings"
 	"time"
@@ -19,7 +21,7 @@
 	d.notify(changed)
 	for _, vm := range due {
 		if !d.Pool.Submit(dragonflypass.JobHeartbeat, func(ctx context.Context) { d.exchange(ctx, vm) }) {
-			d.settle(vm.ID)
+			d.release(vm.ID)
 		}
 	}
 }
@@ -122,7 +124,7 @@
 }
 
 func (d *Detector) exchange(ctx context.Context, vm dragonflypass.VM) {
-	defer d.settle(vm.ID)
+	defer d.release(vm.ID)
 	ctx, cancel := d.Timer.WithDeadline(ctx, d.Timer.Now().Add(d.Interval))
 	defer cancel()
 	d.Meter.Add(dragonflypass.CountHeartbeatSent, 1)
@@ -132,13 +134,52 @@
 	beat, err := d.Peers.Exchange(ctx, vm, own)
 	if err != nil {
 		d.Meter.Add(dragonflypass.CountHeartbeatFailed, 1)
+		if errors.Is(err, dragonflypass.ErrRefused) {
+			d.suspect(vm.ID)
+		}
 		return
 	}
 	d.take(beat)
 	d.Synced(asked, beat)
 }
 
-func (d *Detector) settle(id dragonflypass.VMID) {
+// suspect notes that nothing listens at the VM's address.
+func (d *Detector) suspect(id dragonflypass.VMID) {
+	d.mutex.Lock()
+	m, ok := d.members[id]
+	if !ok || m.State == dragonflypass.MemberSuspect || m.State == dragonflypass.MemberGone {
+		d.mutex.Unlock()
+		return
+	}
+	m.State = dragonflypass.MemberSuspect
+	m.lose()
+	d.others = nil
+	changed := []dragonflypass.Member{m.Member}
+	d.mutex.Unlock()
+	d.notify(changed)
+}
+
+// Doubt sends a heartbeat at once to the VM at the address, the connection to which has ended.
+func (d *Detector) Doubt(address netip.AddrPort) {
+	d.mutex.Lock()
+	var doubted []dragonflypass.VM
+	for _, m := range d.members {
+		if m.VM.Peer == address && m.State == dragonflypass.MemberLive {
+			doubted = append(doubted, m.VM)
+		}
+	}
+	d.mutex.Unlock()
+	for _, vm := range doubted {
+		d.TellOne(vm)
+	}
+}
+
+// TellOne sends a heartbeat to the VM at once.
+func (d *Detector) TellOne(vm dragonflypass.VM) {
+	d.Pool.Submit(dragonflypass.JobHeartbeat, func(ctx context.Context) { d.exchange(ctx, vm) })
+}
+
+func (d *Detector) release(id dragonflypass.VMID) {
 	d.mutex.Lock()
 	defer d.mutex.Unlock()
 	if m, ok := d.members[id]; ok {
@@ -210,7 +251,7 @@
 // self is called with the mutex held.
 func (d *Detector) self() dragonflypass.VM {
 	vm := d.Self
-	vm.Leaving = d.leaving
+	vm.Leaving, vm.Settled = d.leaving, d.settled
 	return vm
 }
 
@@ -249,7 +290,7 @@
 	}
 	d.mutex.Unlock()
 	for _, vm := range vms {
-		d.Pool.Submit(dragonflypass.JobHeartbeat, func(ctx context.Context) { d.exchange(ctx, vm) })
+		d.TellOne(vm)
 	}
 }
 
@@ -277,7 +318,7 @@
 		d.mutex.Unlock()
 		return
 	}
-	before := m.State
+	before, settled := m.State, m.VM.Settled
 	if m.Incarnation != beat.Incarnation {
 		m.lose()
 	}
@@ -292,7 +333,7 @@
 		m.State = dragonflypass.MemberLeaving
 	}
 	changed := d.glimpse(beat.Seen, m.Heard)
-	if m.State != before {
+	if m.State != before || settled != m.VM.Settled {
 		changed = append(changed, m.Member)
 	}
 	d.mutex.Unlock()
--- a/core/handler/handler.go
+++ b/core/handler/handler.go
@@ -14,12 +14,18 @@
 	// Configurer is nil where the platform keeps the configuration.
 	Configurer *configurer.Configurer
 	Guard      *quarantiner.Quarantiner
+	// Refuse returns why this VM grants no permits, nil while it does.
+	Refuse func() *dragonflypass.Refusal
 }
 
 var _ dragonflypass.PeerHandler = (*Handler)(nil)
 
 // Acquire queues a request for a permit of this VM.
 func (h *Handler) Acquire(request dragonflypass.PermitRequest, told func(dragonflypass.Permit, error)) (withdraw func()) {
+	if refusal := h.Refuse(); refusal != nil {
+		told(dragonflypass.Permit{}, refusal)
+		return func() {}
+	}
 	return h.Owner.Ask(request, told)
 }
 
--- a/core/predictor/engine.go
+++ b/core/predictor/engine.go
@@ -134,6 +134,19 @@
 	e.writers = writers
 }
 
+// Trim shortens what is left of a stream's part so that it takes at most the time.
+func (e *Engine) Trim(stream dragonflypass.StreamID, left time.Duration) {
+	for i := range e.reads {
+		r := &e.reads[i]
+		if span := r.span(e.Law, r.left()); r.Stream == stream && span > left {
+			r.done = r.length() - r.left()*float64(left)/float64(span)
+			if i < len(e.planned) {
+				e.planned[i] = max(e.planned[i], r.done)
+			}
+		}
+	}
+}
+
 // Reading reports whether a part of the stream waits or is being processed.
 func (e *Engine) Reading(stream dragonflypass.StreamID) bool {
 	return slices.ContainsFunc(e.reads, func(r Read) bool { return r.Stream == stream })
--- a/core/prober/prober.go
+++ b/core/prober/prober.go
@@ -79,6 +79,13 @@
 	}
 }
 
+// DoubtOne probes the server.
+func (p *Prober) DoubtOne(id dragonflypass.ServerID) {
+	if entry, ok := p.Servers.Server(id); ok {
+		p.probe(entry)
+	}
+}
+
 // DoubtAll probes all servers, as when another VM fell silent.
 func (p *Prober) DoubtAll() {
 	for _, entry := range p.Servers.All() {
--- a/core/relayer/relayer.go
+++ b/core/relayer/relayer.go
@@ -8,8 +8,10 @@
 	"github.com/rotisserie/eris"
 
 	"github.com/dragonflypass/dragonflypass"
+	"github.com/dragonflypass/dragonflypass/core/assessor"
 	"github.com/dragonflypass/dragonflypass/core/balancer"
 	"github.com/dragonflypass/dragonflypass/core/locker"
+	"github.com/dragonflypass/dragonflypass/core/prober"
 	"github.com/dragonflypass/dragonflypass/core/retrier"
 	"github.com/dragonflypass/dragonflypass/core/router"
 )
@@ -64,6 +66,8 @@
 	Directory   Directory
 	Balancer    *balancer.Balancer
 	Permits     Permits
+	Prober      *prober.Prober
+	Assessor    *assessor.Assessor
 	Retrier     *retrier.Retrier
 	// Owner returns the VM that owns the servers of the service.
 	Owner func(service dragonflypass.ServiceID) dragonflypass.VMID
--- a/core/relayer/stream.go
+++ b/core/relayer/stream.go
@@ -16,9 +16,14 @@
 
 const (
 	// firstPatience is added to the predicted time to the first event before a stream counts as stalled.
-	firstPatience = 1200 * time.Millisecond
-	// pausePatience is the least time without an event after which a stream counts as stalled.
-	pausePatience = 1200 * time.Millisecond
+	firstPatience = 1500 * time.Millisecond
+	// pausePatience is the least time without an event after which a stream counts as stalled: a caller leaves
+	// after two seconds, and another server needs some hundred ms.
+	pausePatience = 1600 * time.Millisecond
+	// probeAhead is the time before a stream counts as stalled from which its server is probed.
+	probeAhead = time.Second
+	// overduePart is the time that an overdue first event is expected to take, as a part of that taken so far.
+	overduePart = 0.25
 	// pauseFactor multiplies the longest pause on time.
 	pauseFactor = 4
 )
@@ -27,6 +32,9 @@
 type openStream struct {
 	held  dragonflypass.HeldStream
 	owner dragonflypass.VMID
+	// began is the instant at which the stream began, and first the predicted instant of the first event.
+	began time.Time
+	first time.Time
 	// prefilled is set once the first event has come.
 	prefilled atomic.Bool
 	cancel    context.CancelCauseFunc
@@ -75,8 +83,8 @@
 		shape = &dragonflypass.PromptShape{}
 	}
 	return dragonflypass.PermitRequest{
-		Stream:  dragonflypass.StreamID{VM: r.Self.ID, Incarnation: r.Incarnation, Sequence: r.sequence.Add(1)},
-		Account: j.found.Account, Model: shape.Model, Service: j.service, Priority: j.found.Priority,
+		Stream: dragonflypass.StreamID{VM: r.Self.ID, Incarnation: r.Incarnation, Sequence: r.sequence.Add(1)},
+		ID:     e.ID, Account: j.found.Account, Model: shape.Model, Service: j.service, Priority: j.found.Priority,
 		PromptTokens: shape.Tokens, OutputTokens: shape.OutputTokens, ExpectedTokens: shape.ExpectedTokens,
 		Pause: j.route.Pause, Exclude: j.exclude, Deadline: j.deadline, Target: e.Arrived.Add(j.route.Goal),
 		Fingerprint: dragonflypass.Fingerprint{Account: j.found.Account, Model: shape.Model, Body: e.Fingerprint},
@@ -277,10 +285,15 @@
 	return dragonflypass.ClassOf(shape.Tokens)
 }
 
+// left is the predicted time to the first event; for one that is overdue it grows with the time it has taken.
+func (s *openStream) left(now time.Time) time.Duration {
+	return max(s.first.Sub(now), time.Duration(overduePart*float64(now.Sub(s.began))))
+}
+
 // hold notes an open stream.
 func (r *Relayer) hold(j *job, request dragonflypass.PermitRequest, permit dragonflypass.Permit, cancel context.CancelCauseFunc) *openStream {
 	open := &openStream{
-		cancel: cancel, owner: permit.Owner,
+		cancel: cancel, owner: permit.Owner, began: r.Timer.Now(), first: r.Timer.Now().Add(permit.First),
 		held: dragonflypass.HeldStream{
 			Stream: permit.Stream, Server: permit.Server, Tokens: request.Tokens(), Fingerprint: request.Fingerprint,
 			Account: request.Account, Deadline: request.Deadline, Service: request.Service, Pause: request.Pause, Prompt: request.PromptTokens,
@@ -300,6 +313,7 @@
 // Held returns the open streams that the VM granted, by their sequence numbers, and those that
 // another one granted at servers that the VM owns now.
 func (r *Relayer) Held(owner dragonflypass.VMID) (kept []uint64, held []dragonflypass.HeldStream) {
+	now := r.Timer.Now()
 	r.mutex.Lock()
 	all := make([]*openStream, 0, len(r.open))
 	for _, open := range r.open {
@@ -313,6 +327,7 @@
 		case r.Owner(open.held.Service) == owner:
 			stream := open.held
 			stream.Prefilled = open.prefilled.Load()
+			stream.Left = open.left(now)
 			held = append(held, stream)
 		}
 	}
@@ -325,21 +340,31 @@
 	delete(r.open, stream)
 }
 
-// Sweep claims this VM's own streams, and ends those on which nothing came in time.
-func (r *Relayer) Sweep(context.Context) {
+// Claim tells the owner's side on this VM of the open streams at its servers.
+func (r *Relayer) Claim() {
 	kept, held := r.Held(r.Self.ID)
 	r.Heard(dragonflypass.Heartbeat{From: r.Self, Incarnation: r.Incarnation, Kept: kept, Held: held})
-	now := r.Timer.Now().UnixNano()
-	var stalled []*openStream
+}
+
+// Sweep claims this VM's own streams, and ends those on which nothing came in time.
+func (r *Relayer) Sweep(context.Context) {
+	r.Claim()
+	now := r.Timer.Now()
+	var silent []*openStream
 	r.mutex.Lock()
 	for _, open := range r.open {
-		if now > open.stalls.Load() {
-			stalled = append(stalled, open)
+		if now.UnixNano() > open.stalls.Load()-int64(probeAhead) {
+			silent = append(silent, open)
 		}
 	}
 	r.mutex.Unlock()
-	for _, open := range stalled {
-		open.cancel(errStalled)
+	for _, open := range silent {
+		server := open.held.Server
+		if now.UnixNano() > open.stalls.Load() || r.Assessor.Unreachable(server) {
+			open.cancel(errStalled)
+			continue
+		}
+		r.Prober.DoubtOne(server)
 	}
 }
 
--- a/errors.go
+++ b/errors.go
@@ -43,6 +43,8 @@
 	ReasonUnknown      Reason = "unknown-outcome"
 	ReasonConflict     Reason = "conflict"
 	ReasonNoRouting    Reason = "no-routing"
+	// ReasonMoved sends a request for a permit on to the VM that has taken over.
+	ReasonMoved Reason = "moved"
 )
 
 // Refusal is the error by which a request is refused or fails.
--- a/permit.go
+++ b/permit.go
@@ -7,7 +7,9 @@
 
 // PermitRequest asks the owner of backend servers for leave to run a stream on one of them.
 type PermitRequest struct {
-	Stream  StreamID
+	Stream StreamID
+	// ID is the caller's identifier of the request, for logs.
+	ID      string
 	Account AccountID
 	// Weight is the account's share within its rank.
 	Weight       float64
@@ -51,6 +53,8 @@
 	Owner   VMID
 	Server  ServerID
 	Address netip.AddrPort
+	// Service names the service for which the permit was asked; it is known to the asking VM only.
+	Service ServiceID
 	// Priority is the engine's priority for the stream, lower values running first.
 	Priority int
 	// Helpers are the servers that process parts of the prompt.
@@ -89,6 +93,8 @@
 	Prefilled bool
 	// Helpers are the servers that process parts of the prompt.
 	Helpers []ServerID
+	// Left is the predicted time to the first token.
+	Left time.Duration
 }
 
 // StreamOutcome is how a stream at a backend server ended.
--- a/vm.go
+++ b/vm.go
@@ -35,6 +35,8 @@
 	Peer netip.AddrPort
 	// Leaving is set from the moment at which the VM's shutdown began.
 	Leaving bool
+	// Settled is set once the VM has been up for a while, so that it may take over from others.
+	Settled bool
 }
 
 // Member is an entry VM as another one sees it.
