Reserve memory for prompts larger than one server, start long prompts at idle servers only

A prompt that would occupy its servers for over 0.45 of its time to the target waits: one of 772,000 tokens made 465 short prompts late.

--- a/adapter/messenger/message.go
+++ b/adapter/messenger/message.go
@@ -96,6 +96,7 @@
 	Server      string
 	Address     string
 	Reservation string
+	Tokens      int
 }
 
 type refusal struct {
@@ -295,7 +296,7 @@
 		Priority: p.Priority, First: int64(p.First),
 	}
 	for _, h := range p.Helpers {
-		w.Helpers = append(w.Helpers, helper{Server: string(h.Server), Address: h.Address.String(), Reservation: h.Reservation})
+		w.Helpers = append(w.Helpers, helper{Server: string(h.Server), Address: h.Address.String(), Reservation: h.Reservation, Tokens: h.Tokens})
 	}
 	return w
 }
@@ -311,7 +312,7 @@
 		if failed != nil {
 			return p, failed
 		}
-		p.Helpers = append(p.Helpers, dragonflypass.Helper{Server: dragonflypass.ServerID(h.Server), Address: address, Reservation: h.Reservation})
+		p.Helpers = append(p.Helpers, dragonflypass.Helper{Server: dragonflypass.ServerID(h.Server), Address: address, Reservation: h.Reservation, Tokens: h.Tokens})
 	}
 	return p, err
 }
--- a/core/allocator/allocator.go
+++ b/core/allocator/allocator.go
@@ -62,9 +62,10 @@
 	server  *server
 	helpers []*server
 	parts   int
-	// tokens is the memory that the permit counts for.
-	tokens  int
-	granted time.Time
+	// tokens is the memory that the request needs, and reserved what of it each helper sets aside, if any does.
+	tokens   int
+	reserved []int
+	granted  time.Time
 	// first is the predicted instant of the first token.
 	first time.Time
 	// short is set when the prompt is processed among short ones.
@@ -213,7 +214,7 @@
 		s.engine.Advance(now)
 		s.engine.Drop(p.request.Stream)
 	}
-	p.server.reserved -= p.tokens
+	a.charge(p, -1)
 	p.server.streams--
 	if p.short {
 		p.cell.shorts--
@@ -355,7 +356,7 @@
 
 // place counts the permit at its servers; it is called with the mutex held.
 func (a *Allocator) place(p *permit, arrival time.Time) {
-	p.server.reserved += p.tokens
+	a.charge(p, 1)
 	p.server.streams++
 	if !p.prefilled {
 		for i, s := range p.servers() {
@@ -365,6 +366,24 @@
 	p.server.engine.Write(p.writer(p.first), arrival)
 }
 
+// charge counts the permit's memory at its servers, or gives it back with the sign -1.
+func (a *Allocator) charge(p *permit, sign int) {
+	rest := p.tokens
+	for i, s := range p.helpers {
+		s.reserved += sign * p.reserves(i)
+		rest -= p.reserves(i)
+	}
+	p.server.reserved += sign * rest
+}
+
+// reserves returns the memory that the helper with the index sets aside.
+func (p *permit) reserves(i int) int {
+	if p.reserved == nil {
+		return 0
+	}
+	return p.reserved[i]
+}
+
 // servers returns the permit's server and its helpers.
 func (p *permit) servers() []*server { return append([]*server{p.server}, p.helpers...) }
 
--- a/core/allocator/cell.go
+++ b/core/allocator/cell.go
@@ -26,7 +26,7 @@
 	// backlogTime is the time in which the long prompts that wait are to be worked off.
 	backlogTime = 4 * time.Second
 	// shrinkEvery is the shortest time between two reductions of the servers kept for short prompts.
-	shrinkEvery = 200 * time.Millisecond
+	shrinkEvery = 50 * time.Millisecond
 )
 
 // load is a decaying sum of processing time.
--- a/core/allocator/place.go
+++ b/core/allocator/place.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"context"
+	"fmt"
 	"slices"
 	"time"
 
@@ -21,6 +22,8 @@
 	comfort = 0.5
 	// strayCost is added, in time, for a server that is kept for prompts of the other length.
 	strayCost = 40 * time.Millisecond
+	// strayTime is the processing time of a long prompt at a server kept for short ones that makes one of them late.
+	strayTime = 300 * time.Millisecond
 	// startWait is the longest wait at the servers for which a long prompt is granted its permit ahead.
 	startWait = 60 * time.Millisecond
 	// forceWait is the longest wait of a short prompt for servers at which it disturbs nobody.
@@ -30,13 +33,20 @@
 	// slackMargin is kept between the latest start of a long prompt and its target.
 	slackMargin = 300 * time.Millisecond
 	// longTries is the number of waiting long prompts that are looked at in one go.
-	longTries = 4
+	longTries = 16
 	// wakeAfter is the time between two looks at requests that wait.
 	wakeAfter = 15 * time.Millisecond
 	// lateWorth is what a long prompt that is late counts, as a part of one that is on time.
 	lateWorth = 0.4
 	// writerCost is added, in time, for a first server of a long prompt at which no long one generates yet.
 	writerCost = 200 * time.Millisecond
+	// oversizePart is the part of a server's memory from which a prompt is spread over several.
+	oversizePart = 0.9
+	// blockPart is the longest time for which one prompt may occupy its servers, as a part of the time to its
+	// target when it came: beyond that more worth is lost by those behind it.
+	blockPart = 0.45
+	// memoryMargin is the memory in tokens that is left free beside a reservation.
+	memoryMargin = 4000
 	// partsLimit is the largest number of servers that process one prompt.
 	partsLimit = 17
 )
@@ -50,7 +60,9 @@
 	// cost compares choices; lower is better.
 	cost time.Duration
 	// harmed is the number of streams, at least as urgent, that are predicted to pause for too long.
-	harmed int
+	harmed float64
+	// reserved is the memory in tokens to be set aside at each helper.
+	reserved []int
 	// worth is what the choice of a long prompt earns, as a part of one that is on time.
 	worth float64
 }
@@ -60,8 +72,11 @@
 	server *server
 	done   time.Time
 	cost   time.Duration
-	// harmed is the number of streams at the server, at least as urgent, that would pause for too long.
-	harmed int
+	// wait is the time before the part is processed.
+	wait time.Duration
+	// harmed is the number of streams at the server, at least as urgent, that would pause for too long or
+	// are expected to begin late.
+	harmed float64
 }
 
 // short reports whether the prompt can be processed among short ones.
@@ -163,12 +178,15 @@
 		return best.harmed == 0 || (best.harmed <= harmLimit && now.Sub(w.since) >= forceWait)
 	}
 	parts := time.Duration(1 + len(best.helpers))
-	wait := best.done.Sub(now) - w.reading/parts - c.law.Pass(1, 0)
-	if best.harmed == 0 && wait <= startWait {
-		return true
+	if w.reading/parts > time.Duration(blockPart*float64(w.request.Target.Sub(w.since))) {
+		return false
 	}
-	// Without slack the prompt takes its place behind what the servers have.
-	return best.worth > 0 && c.class(w, now) == classDue && c.latest(w).Sub(now) < slackMargin
+	return best.harmed == 0 || (best.worth > 0 && c.pressed(w, now))
+}
+
+// pressed reports whether a long prompt has no time left to wait for servers at which it disturbs nobody.
+func (c *cell) pressed(w *waiting, now time.Time) bool {
+	return c.class(w, now) == classDue && c.latest(w).Sub(now) < slackMargin
 }
 
 // value weighs a choice for a long prompt: what it earns, less what the streams that pause for too long lose.
@@ -177,7 +195,7 @@
 	if !chosen.done.After(w.request.Target) {
 		earned = 1
 	}
-	return earned - (1-lateWorth)*float64(chosen.harmed)
+	return earned - (1-lateWorth)*chosen.harmed
 }
 
 // usable returns the servers that may have a part in the request; it is called with the mutex held.
@@ -230,14 +248,22 @@
 // split returns the cheapest choice of servers for the number of parts.
 func (c *cell) split(w *waiting, usable []*server, parts int, short bool, now time.Time) (choice, bool) {
 	options := c.options[:0]
+	pressed := short || c.pressed(w, now)
 	for _, s := range usable {
-		options = append(options, c.weigh(w, s, parts, short, now))
+		o := c.weigh(w, s, parts, short, now)
+		// A long prompt does not queue at the servers, so that the order can still change.
+		if pressed || o.wait <= startWait {
+			options = append(options, o)
+		}
 	}
 	slices.SortStableFunc(options, func(x, y option) int {
 		return cmp.Or(cmp.Compare(x.harmed, y.harmed), cmp.Compare(x.cost, y.cost), x.done.Compare(y.done))
 	})
 	c.options = options
-	first := c.first(w, options, short)
+	if len(options) < parts {
+		return choice{}, false
+	}
+	first := c.first(w, options, parts, short)
 	if first < 0 {
 		return choice{}, false
 	}
@@ -256,6 +282,9 @@
 			chosen.done = o.done
 		}
 	}
+	if !c.reserve(w, &chosen) {
+		return choice{}, false
+	}
 	chosen.cost += time.Duration(parts) * partCost
 	chosen.worth = c.value(w, chosen)
 	return chosen, true
@@ -263,11 +292,11 @@
 
 // first returns the index of the option whose server generates the answer, negative when none can: of those that
 // harm least the cheapest, where a long prompt costs more at a server without another one's stream.
-func (c *cell) first(w *waiting, options []option, short bool) int {
+func (c *cell) first(w *waiting, options []option, parts int, short bool) int {
 	best := -1
 	var lowest time.Duration
 	for i, o := range options {
-		if !c.holds(w, o.server) {
+		if !c.holds(w, o.server, parts) {
 			continue
 		}
 		if best >= 0 && o.harmed > options[best].harmed {
@@ -284,9 +313,38 @@
 	return best
 }
 
-// holds reports whether the server has a slot and the memory for the whole request.
-func (c *cell) holds(w *waiting, s *server) bool {
-	return s.streams < c.law.Slots && s.free(c.law) >= c.tokens(w)
+// holds reports whether the server has a slot and the memory for the whole request, or for a part of one that
+// is larger than any server's memory.
+func (c *cell) holds(w *waiting, s *server, parts int) bool {
+	if s.streams >= c.law.Slots {
+		return false
+	}
+	tokens := c.tokens(w)
+	if c.oversize(tokens) && parts > 1 {
+		return s.free(c.law) >= c.law.Memory/2
+	}
+	return s.free(c.law) >= tokens
+}
+
+// oversize reports whether no single server is to hold so many tokens.
+func (c *cell) oversize(tokens int) bool { return tokens > int(oversizePart*float64(c.law.Memory)) }
+
+// reserve spreads what the first server cannot hold over the helpers, and reports whether they can.
+func (c *cell) reserve(w *waiting, chosen *choice) bool {
+	lacks := c.tokens(w) - chosen.server.free(c.law) + memoryMargin
+	if lacks <= memoryMargin {
+		return true
+	}
+	chosen.reserved = make([]int, len(chosen.helpers))
+	for i, s := range chosen.helpers {
+		free := s.free(c.law) - memoryMargin
+		if lacks <= 0 || free < memoryMargin {
+			continue
+		}
+		chosen.reserved[i] = min(free, lacks)
+		lacks -= chosen.reserved[i]
+	}
+	return lacks <= 0
 }
 
 // tokens is the memory that the request is expected to need.
@@ -302,9 +360,13 @@
 func (c *cell) weigh(w *waiting, s *server, parts int, short bool, now time.Time) option {
 	read := predictor.Part(w.request.Stream, w.request.PromptTokens, parts, parts > 1)
 	f := s.outlook.Forecast(read)
-	o := option{server: s, done: f.Done, cost: f.Done.Sub(now)}
+	o := option{server: s, done: f.Done, cost: f.Done.Sub(now), wait: f.Done.Sub(now) - w.reading/time.Duration(parts) - c.law.Pass(1, 0)}
 	if pause := s.outlook.Pause(); pause > 0 && f.Longest > pause-pauseMargin {
-		o.harmed = s.engine.Harmed(f.Longest+pauseMargin, w.request.Priority)
+		o.harmed = float64(s.engine.Harmed(f.Longest+pauseMargin, w.request.Priority))
+	}
+	if part := w.reading / time.Duration(parts); !short && s.rank < c.kept && part > shortPart {
+		// Short prompts that come to the server meanwhile wait for the part.
+		o.harmed += float64(part-shortPart) / float64(strayTime)
 	}
 	if short {
 		o.cost = max(o.cost, time.Duration(comfort*float64(w.request.Target.Sub(now))))
@@ -324,7 +386,7 @@
 func (a *Allocator) grant(c *cell, w *waiting, chosen choice, now time.Time) dragonflypass.Permit {
 	p := &permit{
 		request: w.request, cell: c, server: chosen.server, helpers: chosen.helpers, parts: 1 + len(chosen.helpers),
-		tokens: c.tokens(w), granted: now, first: chosen.done, heard: now,
+		reserved: chosen.reserved, tokens: c.tokens(w), granted: now, first: chosen.done, heard: now,
 	}
 	a.permits[w.request.Stream] = p
 	a.place(p, now.Add(transit))
@@ -345,12 +407,21 @@
 		Stream: w.request.Stream, Owner: a.Self, Server: p.server.entry.ID, Address: p.server.entry.Address,
 		Priority: -1, First: chosen.done.Sub(now),
 	}
-	for _, s := range p.helpers {
-		granted.Helpers = append(granted.Helpers, dragonflypass.Helper{Server: s.entry.ID, Address: s.entry.Address})
+	for i, s := range p.helpers {
+		h := dragonflypass.Helper{Server: s.entry.ID, Address: s.entry.Address}
+		if p.reserves(i) > 0 {
+			h.Reservation, h.Tokens = reservationName(w.request.Stream, i), p.reserves(i)
+		}
+		granted.Helpers = append(granted.Helpers, h)
 	}
 	return granted
 }
 
+// reservationName is unique over all VMs and their restarts.
+func reservationName(stream dragonflypass.StreamID, index int) string {
+	return fmt.Sprintf("%s-%x-%d-%d", stream.VM, stream.Incarnation, stream.Sequence, index)
+}
+
 // wakeLater has the waiting requests looked at again; it is called with the mutex held.
 func (a *Allocator) wakeLater(c *cell, now time.Time) {
 	if len(c.waiting) == 0 || c.wake != nil {
--- a/core/composer/relay.go
+++ b/core/composer/relay.go
@@ -19,6 +19,7 @@
 	"github.com/dragonflypass/dragonflypass/core/quarantiner"
 	"github.com/dragonflypass/dragonflypass/core/registrar"
 	"github.com/dragonflypass/dragonflypass/core/relayer"
+	"github.com/dragonflypass/dragonflypass/core/reserver"
 	"github.com/dragonflypass/dragonflypass/core/retrier"
 	"github.com/dragonflypass/dragonflypass/core/router"
 )
@@ -173,6 +174,7 @@
 	l.Meter, l.Logger, l.Router, l.Directory, l.Balancer = p.Meter, p.Logger, n.Router, n.Registrar, n.Balancer
 	l.Permits, l.Retrier, l.Left, l.Unreached = n.Acquirer, n.Retrier, n.Detector.Left, n.unreached
 	l.Prober, l.Assessor = n.Prober, n.Assessor
+	l.Reserver = &reserver.Reserver{Timer: p.Timer, Pool: p.Pool, Backend: p.Backend, Meter: p.Meter, Logger: p.Logger}
 	l.Owner = func(service dragonflypass.ServiceID) dragonflypass.VMID { return n.Acquirer.Owner(service).ID }
 	l.Heard = n.Allocator.Heard
 	n.Relayer = l
--- a/core/relayer/relayer.go
+++ b/core/relayer/relayer.go
@@ -12,6 +12,7 @@
 	"github.com/dragonflypass/dragonflypass/core/balancer"
 	"github.com/dragonflypass/dragonflypass/core/locker"
 	"github.com/dragonflypass/dragonflypass/core/prober"
+	"github.com/dragonflypass/dragonflypass/core/reserver"
 	"github.com/dragonflypass/dragonflypass/core/retrier"
 	"github.com/dragonflypass/dragonflypass/core/router"
 )
@@ -66,6 +67,7 @@
 	Directory   Directory
 	Balancer    *balancer.Balancer
 	Permits     Permits
+	Reserver    *reserver.Reserver
 	Prober      *prober.Prober
 	Assessor    *assessor.Assessor
 	Retrier     *retrier.Retrier
--- a/core/relayer/stream.go
+++ b/core/relayer/stream.go
@@ -143,6 +143,11 @@
 
 // run sends the request and passes the events on as they come.
 func (r *Relayer) run(ctx context.Context, j *job, permit dragonflypass.Permit, open *openStream) error {
+	free, failed, err := r.Reserver.Hold(ctx, permit.Helpers)
+	if err != nil {
+		return eris.Wrapf(dragonflypass.ErrRefused, "no memory at %s: %v", failed.Server, err)
+	}
+	defer free()
 	delivery := j.delivery(permit.Server)
 	delivery.Address, delivery.Helpers, delivery.Urgency = permit.Address, permit.Helpers, permit.Priority
 	reply, err := r.Backend.Send(ctx, delivery)
--- a/exchange.go
+++ b/exchange.go
@@ -69,8 +69,9 @@
 type Helper struct {
 	Server  ServerID
 	Address netip.AddrPort
-	// Reservation names the memory set aside there for a part of the prompt, empty for none.
+	// Reservation names the memory set aside there for the prompt, empty for none, and Tokens is its size.
 	Reservation string
+	Tokens      int
 }
 
 // AnswerHead begins a backend server's answer.
