Keep a retry budget for each service, and quarantine requests that crash servers

Cause: the relay shared one budget among all services, and a request that crashes its server was tried again elsewhere without end. Now each service has a part of the operators' budget, shared by the VMs that are up, and a server that breaks a request off is probed; when it is down the request is accused and the other VMs are told. Three crashes refuse it. Open: short plain calls held by a server that hangs end in 504.

--- a/core/composer/relay.go
+++ b/core/composer/relay.go
@@ -47,6 +47,10 @@
 	Heartbeat time.Duration
 	// Revoke is the time after which no request with a key that was taken away may run.
 	Revoke time.Duration
+	// Repeats is the number of repeats allowed for each request of a service, and Slack that of further ones in a
+	// window, for all VMs together.
+	Repeats float64
+	Slack   float64
 	// Apply is the time in which a new route table must be in force.
 	Apply time.Duration
 }
@@ -66,7 +70,7 @@
 	Allocator *allocator.Allocator
 	Acquirer  *acquirer.Acquirer
 	Relayer   *relayer.Relayer
-	Retrier   *retrier.Retrier
+	Budgets   *retrier.Budgets
 	Guard     *quarantiner.Quarantiner
 
 	mutex locker.Mutex
@@ -82,6 +86,10 @@
 	registryPeriod = 500 * time.Millisecond
 	// patience is the age of the newest proof from which a VM reads the store by itself.
 	patience = 1500 * time.Millisecond
+	// tellTimeout bounds one message about a crash.
+	tellTimeout = time.Second
+	// crashLimit is the number of servers that a request may crash before it is refused.
+	crashLimit = 3
 	// topicReaders is the number of VMs that read a topic for the others, so that the loss of one is not felt.
 	topicReaders = 2
 	// listPeriod is the time between two readings of the list of entry VMs, which tell each other of themselves.
@@ -91,10 +99,13 @@
 // ComposeRelay builds a node that relays exchanges; nothing runs before Run.
 func ComposeRelay(options RelayOptions, ports RelayPorts) *Relay {
 	n := &Relay{
-		Options: options, Ports: ports, Retrier: retrier.New(), Guard: quarantiner.New(),
+		Options: options, Ports: ports, Budgets: retrier.NewBudgets(), Guard: quarantiner.New(),
 		mutex: locker.Mutex{Order: locker.Configuration}, owned: make(map[dragonflypass.ServiceID]dragonflypass.VMID),
 	}
 	n.Guard.Timer, n.Guard.Meter, n.Guard.Logger = ports.Timer, ports.Meter, ports.Logger
+	n.Guard.Limit = crashLimit
+	n.Budgets.Ratio, n.Budgets.Slack = options.Repeats, options.Slack
+	n.Budgets.VMs = func() int { return len(n.Detector.Others()) + 1 }
 	n.composeMembers()
 	n.composeTopics()
 	n.composeServers()
@@ -172,8 +183,9 @@
 	l := relayer.New()
 	l.Self, l.Incarnation, l.Timer, l.Backend = o.Self, o.Incarnation, p.Timer, p.Backend
 	l.Meter, l.Logger, l.Router, l.Directory, l.Balancer = p.Meter, p.Logger, n.Router, n.Registrar, n.Balancer
-	l.Permits, l.Retrier, l.Left, l.Unreached = n.Acquirer, n.Retrier, n.Detector.Left, n.unreached
+	l.Permits, l.Budgets, l.Left, l.Unreached = n.Acquirer, n.Budgets, n.Detector.Left, n.unreached
 	l.Prober, l.Assessor = n.Prober, n.Assessor
+	l.Guard, l.Crashes = n.Guard, n
 	l.Reserver = &reserver.Reserver{Timer: p.Timer, Pool: p.Pool, Backend: p.Backend, Meter: p.Meter, Logger: p.Logger}
 	l.Owner = func(service dragonflypass.ServiceID) dragonflypass.VMID { return n.Acquirer.Owner(service).ID }
 	l.Heard = n.Allocator.Heard
@@ -290,6 +302,19 @@
 	return &handler.Handler{Owner: n.Allocator, Detector: n.Detector, Guard: n.Guard, Refuse: n.refuse}
 }
 
+// Tell passes word of a crash on to the other VMs.
+func (n *Relay) Tell(crash dragonflypass.Crash) {
+	for _, member := range n.Detector.Others() {
+		n.Ports.Pool.Submit(dragonflypass.JobPeer, func(ctx context.Context) {
+			ctx, cancel := n.Ports.Timer.WithDeadline(ctx, n.Ports.Timer.Now().Add(tellTimeout))
+			defer cancel()
+			if err := n.Ports.Peers.Report(ctx, member.VM, crash); err != nil {
+				n.Ports.Logger.Info("crash not told", "vm_told", member.VM.ID, "server", crash.Server, "error", err)
+			}
+		})
+	}
+}
+
 // refuse sends requests for permits on to other VMs while this one is leaving.
 func (n *Relay) refuse() *dragonflypass.Refusal {
 	if !n.Detector.Leaving() {
--- a/core/quarantiner/quarantiner.go
+++ b/core/quarantiner/quarantiner.go
@@ -8,8 +8,8 @@
 )
 
 const (
-	// crashLimit is the number of crashes at which a request is quarantined.
-	crashLimit = 2
+	// defaultLimit is the number of crashes at which a request is quarantined.
+	defaultLimit = 2
 	// suspectTime is how long a request stays suspect without a further crash.
 	suspectTime = 10 * time.Minute
 	// quarantineTime is how long a request stays quarantined.
@@ -42,6 +42,8 @@
 	Timer  dragonflypass.Timer
 	Meter  dragonflypass.Meter
 	Logger dragonflypass.Logger
+	// Limit is the number of crashes at which a request is quarantined.
+	Limit int
 
 	mutex    locker.Mutex
 	suspects map[dragonflypass.Fingerprint]*suspect
@@ -64,6 +66,7 @@
 // New returns a quarantiner without suspects.
 func New() *Quarantiner {
 	return &Quarantiner{
+		Limit:    defaultLimit,
 		mutex:    locker.Mutex{Order: locker.Suspects},
 		suspects: make(map[dragonflypass.Fingerprint]*suspect),
 		crashes:  make(map[crashKey]time.Time),
@@ -122,12 +125,12 @@
 	delete(q.proven, fingerprint)
 	s.crashes++
 	s.since = now
-	if s.crashes < crashLimit {
+	if s.crashes < q.Limit {
 		s.until = now.Add(suspectTime)
 		return false
 	}
 	s.until = now.Add(quarantineTime)
-	return s.crashes == crashLimit
+	return s.crashes == q.Limit
 }
 
 // Finished clears a request that ran to its end.
@@ -138,7 +141,7 @@
 	if len(q.proven) < provenLimit {
 		q.proven[fingerprint] = now
 	}
-	if s, ok := q.suspects[fingerprint]; ok && s.crashes < crashLimit {
+	if s, ok := q.suspects[fingerprint]; ok && s.crashes < q.Limit {
 		delete(q.suspects, fingerprint)
 	}
 }
@@ -166,7 +169,7 @@
 		return Clear
 	}
 	switch {
-	case s.crashes >= crashLimit:
+	case s.crashes >= q.Limit:
 		return Quarantined
 	case now.Sub(s.since) < spreadTime:
 		return Waits
--- a/core/relayer/relayer.go
+++ b/core/relayer/relayer.go
@@ -12,6 +12,7 @@
 	"github.com/dragonflypass/dragonflypass/core/balancer"
 	"github.com/dragonflypass/dragonflypass/core/locker"
 	"github.com/dragonflypass/dragonflypass/core/prober"
+	"github.com/dragonflypass/dragonflypass/core/quarantiner"
 	"github.com/dragonflypass/dragonflypass/core/reserver"
 	"github.com/dragonflypass/dragonflypass/core/retrier"
 	"github.com/dragonflypass/dragonflypass/core/router"
@@ -49,10 +50,18 @@
 	Release(permit dragonflypass.Permit, release dragonflypass.PermitRelease)
 }
 
+// Crashes tells the other entry VMs of crashes.
+type Crashes interface {
+	// Tell passes word of a crash on.
+	Tell(crash dragonflypass.Crash)
+}
+
 // Directory tells which backend servers may be given work.
 type Directory interface {
 	// Servers returns the servers of the service.
 	Servers(service dragonflypass.ServiceID) []dragonflypass.ServerEntry
+	// Server returns one of them.
+	Server(id dragonflypass.ServerID) (dragonflypass.ServerEntry, bool)
 }
 
 // Relayer serves exchanges.
@@ -70,7 +79,9 @@
 	Reserver    *reserver.Reserver
 	Prober      *prober.Prober
 	Assessor    *assessor.Assessor
-	Retrier     *retrier.Retrier
+	Budgets     *retrier.Budgets
+	Guard       *quarantiner.Quarantiner
+	Crashes     Crashes
 	// Owner returns the VM that owns the servers of the service.
 	Owner func(service dragonflypass.ServiceID) dragonflypass.VMID
 	// Heard takes this VM's own open streams.
@@ -140,6 +151,9 @@
 	if left := r.Left(); refusal == nil && !left.IsZero() && e.Arrived.Sub(left) > acceptTime {
 		refusal = dragonflypass.Refuse(dragonflypass.ReasonLeaving, elsewhereRetry, "the VM is leaving")
 	}
+	if refusal == nil && r.Guard.Check(print(found, e)) == quarantiner.Quarantined {
+		refusal = dragonflypass.Refuse(dragonflypass.ReasonQuarantined, 0, "backend servers crashed while running this request")
+	}
 	if refusal != nil {
 		r.Meter.Add(dragonflypass.CountRefused, 1)
 		r.Logger.Info("request refused", "id", e.ID, "reason", refusal.Reason, "detail", refusal.Detail, "routing_age", found.Age)
@@ -151,7 +165,7 @@
 		j.deadline = e.Deadline
 	}
 	r.Meter.Add(dragonflypass.CountAdmitted, 1)
-	r.Retrier.Earn()
+	r.Budgets.Earn(j.service)
 	ctx, cancel := r.Timer.WithDeadline(ctx, j.deadline)
 	defer cancel()
 	serve := r.whole
@@ -163,6 +177,15 @@
 	return err
 }
 
+// print is what makes the exchange the same when it is sent again.
+func print(found router.Found, e *dragonflypass.Exchange) dragonflypass.Fingerprint {
+	f := dragonflypass.Fingerprint{Account: found.Account, Body: e.Fingerprint}
+	if e.Prompt != nil {
+		f.Model = e.Prompt.Model
+	}
+	return f
+}
+
 // finish counts and logs the end of an exchange.
 func (r *Relayer) finish(j *job, err error) {
 	outcome, counter := "answered", dragonflypass.CountFinished
@@ -232,7 +255,7 @@
 	if j.declined > declineLimit || (j.declined > 0 && j.route.Attempts == 1) {
 		return false
 	}
-	if !r.Retrier.Spend() {
+	if !r.Budgets.Spend(j.service) {
 		r.Meter.Add(dragonflypass.CountRetryBudgetSpent, 1)
 		return false
 	}
--- a/core/relayer/stream.go
+++ b/core/relayer/stream.go
@@ -87,7 +87,7 @@
 		ID:     e.ID, Account: j.found.Account, Model: shape.Model, Service: j.service, Priority: j.found.Priority,
 		PromptTokens: shape.Tokens, OutputTokens: shape.OutputTokens, ExpectedTokens: shape.ExpectedTokens,
 		Pause: j.route.Pause, Exclude: j.exclude, Deadline: j.deadline, Target: e.Arrived.Add(j.route.Goal),
-		Fingerprint: dragonflypass.Fingerprint{Account: j.found.Account, Model: shape.Model, Body: e.Fingerprint},
+		Fingerprint: print(j.found, e),
 	}
 }
 
@@ -104,6 +104,7 @@
 	}
 	j.trail = append(j.trail, fmt.Sprintf("%s %s owner %s helpers %d predicted %s", permit.Server,
 		describe(nil, err, r.Timer.Now().Sub(began)), permit.Owner, len(permit.Helpers), permit.First.Round(time.Millisecond)))
+	r.suspect(ctx, j, permit.Server, err)
 	r.Permits.Release(permit, dragonflypass.PermitRelease{
 		Stream: permit.Stream, Server: permit.Server, Outcome: outcomeOf(ctx, err), Culprit: culprit(permit, err),
 	})
--- a/core/relayer/whole.go
+++ b/core/relayer/whole.go
@@ -79,6 +79,7 @@
 	}
 	j.attempts++
 	j.ran = true
+	r.suspect(ctx, j, entry.ID, err)
 	return nil, judged(ctx, assessor.Failed), err
 }
 
--- a/core/retrier/retrier.go
+++ b/core/retrier/retrier.go
@@ -8,32 +8,48 @@
 )
 
 const (
-	// share is the number of retries earned by one request.
-	share = 0.1
-	// reserve is the largest number of retries saved up.
-	reserve = 20
+	// defaultShare is the number of retries earned by one request, and defaultReserve the largest number saved up.
+	defaultShare   = 0.1
+	defaultReserve = 20
 	// firstDelay is the mean delay before the first retry of a request.
 	firstDelay = 20 * time.Millisecond
 	// longestDelay bounds the mean delay before a retry.
 	longestDelay = time.Second
 )
 
-// Retrier keeps the retry budget of one entry VM.
+// Retrier keeps one retry budget.
 type Retrier struct {
-	mutex locker.Mutex
-	saved float64
+	mutex   locker.Mutex
+	share   float64
+	reserve float64
+	saved   float64
 }
 
 // New returns a retrier with its reserve full.
 func New() *Retrier {
-	return &Retrier{mutex: locker.Mutex{Order: locker.Accounts}, saved: reserve}
+	return &Retrier{share: defaultShare, reserve: defaultReserve, saved: defaultReserve}
+}
+
+// limit sets what a request earns and how much is saved up at most.
+func (r *Retrier) limit(share, reserve float64) {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	r.share, r.reserve = share, reserve
+	r.saved = min(r.saved, reserve)
 }
 
 // Earn adds a request's part to the budget.
 func (r *Retrier) Earn() {
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
-	r.saved = min(reserve, r.saved+share)
+	r.saved = min(r.reserve, r.saved+r.share)
+}
+
+// Saved returns the retries that the budget has.
+func (r *Retrier) Saved() float64 {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	return r.saved
 }
 
 // Spend takes one retry and reports whether the budget had one.
