Send repeatable plain calls to a second server after half their objective

Cause: a backend server that hangs held short calls to the end of their time; the answer was a 504 after 400 ms, though another server was free. A call that may run more than once is now sent to a second server when half of its latency objective has passed, within the attempts of its route and the repeat budget; the first good answer ends the other sending. Ruled out: leaving servers out sooner, for the first call of a hang is as late as before.

--- a/adapter/assembler/relay.go
+++ b/adapter/assembler/relay.go
@@ -102,7 +102,7 @@
 	return composer.ComposeRelay(composer.RelayOptions{
 		Self: settings.VM(), Incarnation: uint64(time.Now().UnixNano()), Seeds: settings.Seeds,
 		Heartbeat: time.Duration(settings.Times.Heartbeat), Repeats: settings.Budget.Ratio, Slack: settings.Budget.Slack,
-		Revoke:    time.Duration(settings.Times.Revoke), Apply: time.Duration(settings.Times.Apply),
+		Revoke: time.Duration(settings.Times.Revoke), Apply: time.Duration(settings.Times.Apply),
 	}, composer.RelayPorts{
 		Timer: ports.Timer, Pool: ports.Pool, Store: ports.Store, Backend: ports.Backend, Meter: ports.Meter, Logger: ports.Logger,
 		Peers: ports.Peers, Directory: ports.Directory,
--- a/core/relayer/relayer.go
+++ b/core/relayer/relayer.go
@@ -161,7 +161,7 @@
 	}
 	j := &job{exchange: e, found: found, route: found.Route, to: to, last: e.LastEvent, service: router.Service(found.Route)}
 	j.deadline = e.Arrived.Add(found.Route.Timeout)
-	if e.Deadline.Before(j.deadline) {
+	if !e.Deadline.IsZero() && e.Deadline.Before(j.deadline) {
 		j.deadline = e.Deadline
 	}
 	r.Meter.Add(dragonflypass.CountAdmitted, 1)
@@ -255,7 +255,12 @@
 	if j.declined > declineLimit || (j.declined > 0 && j.route.Attempts == 1) {
 		return false
 	}
-	if !r.Budgets.Spend(j.service) {
+	return r.spend(j.service)
+}
+
+// spend takes one repeat from the budget of the service.
+func (r *Relayer) spend(service dragonflypass.ServiceID) bool {
+	if !r.Budgets.Spend(service) {
 		r.Meter.Add(dragonflypass.CountRetryBudgetSpent, 1)
 		return false
 	}
--- a/core/relayer/whole.go
+++ b/core/relayer/whole.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"time"
 
 	"github.com/dragonflypass/dragonflypass"
 	"github.com/dragonflypass/dragonflypass/core/assessor"
@@ -18,6 +19,18 @@
 	body []byte
 }
 
+// result is the end of one sending of a request to a plain service.
+type result struct {
+	entry dragonflypass.ServerEntry
+	// answer is nil when there was none.
+	answer *answer
+	err    error
+	span   time.Duration
+}
+
+// good reports whether the result may be passed on without another try.
+func (s *result) good() bool { return s.err == nil && s.answer.head.Status < serverFault }
+
 // whole serves an exchange whose answer is passed on in one piece, once it is proved whole.
 func (r *Relayer) whole(ctx context.Context, j *job) error {
 	// last is the newest answer of a server, which says that it failed.
@@ -30,25 +43,29 @@
 		if !ok {
 			return r.refusal(ctx, j, dragonflypass.ReasonNoServer, soonRetry, "no server of the service is known")
 		}
-		a, outcome, err := r.call(ctx, j, entry)
-		r.Balancer.Done(entry.ID, outcome, loadOf(a))
-		j.exclude = append(j.exclude, entry.ID)
-		if err == nil {
-			last = a
-		}
-		if err == nil && (a.head.Status < serverFault || !r.mayRetry(ctx, j)) {
-			return r.pass(ctx, j, a)
-		}
-		if err != nil && !r.goOn(ctx, j, err) {
-			if last != nil {
-				return r.pass(ctx, j, last)
+		var end result
+		for _, end = range r.hedged(ctx, j, entry) {
+			j.take(&end)
+			if end.err == nil {
+				last = end.answer
 			}
+			if end.good() {
+				break
+			}
+		}
+		switch {
+		case end.good():
+			return r.pass(ctx, j, end.answer)
+		case r.goOn(ctx, j, end.err):
+		case last != nil:
+			return r.pass(ctx, j, last)
+		default:
 			return r.refusal(ctx, j, dragonflypass.ReasonBroken, soonRetry, "the servers did not answer")
 		}
 	}
 }
 
-// goOn reports whether another server is tried after the error.
+// goOn reports whether another server is tried after an answer that says the server failed, or after the error.
 func (r *Relayer) goOn(ctx context.Context, j *job, err error) bool {
 	if errors.Is(err, dragonflypass.ErrUnavailable) {
 		return ctx.Err() == nil
@@ -56,36 +73,47 @@
 	return r.mayRetry(ctx, j)
 }
 
-// call sends the request to the server and reads the whole answer.
-func (r *Relayer) call(ctx context.Context, j *job, entry dragonflypass.ServerEntry) (*answer, assessor.Outcome, error) {
+// take counts the result among the attempts of the request.
+func (j *job) take(s *result) {
+	j.trail = append(j.trail, fmt.Sprintf("%s %s", s.entry.ID, describe(s.answer, s.err, s.span)))
+	j.exclude = append(j.exclude, s.entry.ID)
+	switch {
+	case errors.Is(s.err, dragonflypass.ErrUnavailable):
+	case errors.Is(s.err, dragonflypass.ErrRefused):
+		j.declined++
+	default:
+		j.attempts++
+		j.ran = true
+	}
+}
+
+// ask sends the request to the server, reads the whole answer and tells the balancer of it.
+func (r *Relayer) ask(ctx context.Context, j *job, entry dragonflypass.ServerEntry) result {
 	began := r.Timer.Now()
 	delivery := j.delivery(entry.ID)
 	delivery.Address = entry.Address
 	a, err := r.exchange(ctx, delivery)
-	j.trail = append(j.trail, fmt.Sprintf("%s %s", entry.ID, describe(a, err, r.Timer.Now().Sub(began))))
+	outcome := assessor.Answered
 	switch {
 	case err == nil:
-		j.attempts++
-		j.ran = true
-		return a, assessor.Answered, nil
 	case errors.Is(err, dragonflypass.ErrUnavailable):
+		outcome = assessor.Unjudged
 		if ctx.Err() == nil {
 			r.Unreached(entry.ID)
 		}
-		return nil, assessor.Unjudged, err
 	case errors.Is(err, dragonflypass.ErrRefused):
-		j.declined++
-		return nil, assessor.Declined, err
+		outcome = assessor.Declined
+	default:
+		outcome = judged(ctx, assessor.Failed)
+		r.suspect(ctx, j, entry.ID, err)
 	}
-	j.attempts++
-	j.ran = true
-	r.suspect(ctx, j, entry.ID, err)
-	return nil, judged(ctx, assessor.Failed), err
+	r.Balancer.Done(entry.ID, outcome, loadOf(a))
+	return result{entry: entry, answer: a, err: err, span: r.Timer.Now().Sub(began)}
 }
 
-// judged returns the outcome unless the request was ended from this side.
+// judged returns the outcome unless the request was ended from this side, and not because another server was faster.
 func judged(ctx context.Context, outcome assessor.Outcome) assessor.Outcome {
-	if errors.Is(ctx.Err(), context.Canceled) {
+	if errors.Is(ctx.Err(), context.Canceled) && !errors.Is(context.Cause(ctx), errOvertaken) {
 		return assessor.Unjudged
 	}
 	return outcome
--- a/metrics.go
+++ b/metrics.go
@@ -9,6 +9,7 @@
 	CountTimeout           Counter = "requests_timeout"
 	CountCancelled         Counter = "requests_cancelled"
 	CountRetried           Counter = "requests_retried"
+	CountHedged            Counter = "requests_hedged"
 	CountResumed           Counter = "requests_resumed"
 	CountMoved             Counter = "requests_moved"
 	CountCopyFailed        Counter = "kv_copies_failed"
--- a/ports.go
+++ b/ports.go
@@ -38,6 +38,7 @@
 	JobRouting   JobKind = "routing"
 	JobRegistry  JobKind = "registry"
 	JobProbe     JobKind = "probe"
+	JobRepeat    JobKind = "repeat"
 )
 
 // Pool runs jobs on a fixed number of workers.
