Put the parts of divided prompts first at their servers, and keep messages from waiting behind a silent owner

The engines put every part of a divided prompt before what waits, the newest first, also at the server that generates the answer; the model had them in the order of arrival there.

Ruled out: order of arrival among the parts of one prompt; memory and slots, which had room.

The effect of the messages alone is not measured.

--- a/core/acquirer/acquirer.go
+++ b/core/acquirer/acquirer.go
@@ -190,15 +190,21 @@
 	return []dragonflypass.VMID{permit.Owner, now}
 }
 
-// later has a worker tell the owner, again when it fails.
+// later has a worker tell the owner, again when it fails. An owner that is not heard is not told, for its
+// permits lapse, and the messages to others are not to wait behind those to it.
 func (a *Acquirer) later(id dragonflypass.VMID, tries int, tell func(context.Context, dragonflypass.VM) error) {
 	owner, ok := a.Members.Member(id)
 	if !ok {
 		return
 	}
 	a.Pool.Submit(dragonflypass.JobPeer, func(ctx context.Context) {
+		ctx, stop := a.Members.Attend(ctx, id)
+		defer stop()
 		ctx, cancel := a.Timer.WithDeadline(ctx, a.Timer.Now().Add(callTimeout))
 		defer cancel()
+		if ctx.Err() != nil {
+			return
+		}
 		if tell(ctx, owner) != nil && tries > 1 {
 			a.later(id, tries-1, tell)
 		}
--- a/core/allocator/allocator.go
+++ b/core/allocator/allocator.go
@@ -66,8 +66,9 @@
 	tokens   int
 	reserved []int
 	granted  time.Time
-	// first is the predicted instant of the first token.
-	first time.Time
+	// first is the predicted instant of the first token, and promised what it was when the permit was granted.
+	first    time.Time
+	promised time.Time
 	// short is set when the prompt is processed among short ones.
 	short bool
 	// prefilled is set once the prompt is known to be processed.
@@ -158,7 +159,7 @@
 		return
 	}
 	p.prefilled = true
-	if off := now.Sub(p.first); off.Abs() > mispredicted {
+	if off := now.Sub(p.promised); off.Abs() > mispredicted {
 		a.Logger.Info("prompt processed off its time", "id", p.request.ID, "server", p.server.entry.ID, "helpers", len(p.helpers), "off", off,
 			"tokens", p.request.PromptTokens)
 	}
@@ -166,6 +167,7 @@
 	for _, s := range p.servers() {
 		s.engine.Advance(at)
 		s.engine.Done(stream)
+		s.settle(p)
 	}
 	p.server.engine.Boundary(at)
 	p.server.engine.Write(p.writer(at), now)
@@ -213,6 +215,7 @@
 	for _, s := range p.servers() {
 		s.engine.Advance(now)
 		s.engine.Drop(p.request.Stream)
+		s.settle(p)
 	}
 	a.charge(p, -1)
 	p.server.streams--
@@ -284,10 +287,10 @@
 	}
 	left := max(overdueTime, time.Duration(overduePart*float64(now.Sub(p.granted))))
 	p.first = now.Add(left)
-	for i, s := range p.servers() {
+	for _, s := range p.servers() {
 		s.engine.Advance(now)
 		if !s.engine.Reading(p.request.Stream) {
-			s.engine.Add(predictor.Part(p.request.Stream, p.request.PromptTokens, p.parts, i > 0), now)
+			s.engine.Add(predictor.Read{Stream: p.request.Stream, Tokens: p.request.PromptTokens, Parts: p.parts}, now)
 			s.engine.Trim(p.request.Stream, left)
 		}
 	}
@@ -332,7 +335,7 @@
 	}
 	p := &permit{
 		cell: c, server: c.servers[held.Server], parts: 1 + len(held.Helpers), tokens: held.Prompt + c.law.Answer,
-		granted: now, first: now.Add(held.Left), prefilled: held.Prefilled, heard: now,
+		granted: now, first: now.Add(held.Left), promised: now.Add(held.Left), prefilled: held.Prefilled, heard: now,
 		request: dragonflypass.PermitRequest{
 			Stream: held.Stream, Service: held.Service, PromptTokens: held.Prompt, Pause: held.Pause, Deadline: held.Deadline,
 			Account: held.Account, Fingerprint: held.Fingerprint,
@@ -359,8 +362,12 @@
 	a.charge(p, 1)
 	p.server.streams++
 	if !p.prefilled {
-		for i, s := range p.servers() {
-			s.engine.Add(predictor.Part(p.request.Stream, p.request.PromptTokens, p.parts, i > 0), arrival)
+		for _, s := range p.servers() {
+			s.engine.Add(predictor.Read{Stream: p.request.Stream, Tokens: p.request.PromptTokens, Parts: p.parts}, arrival)
+			s.pending = append(s.pending, p)
+		}
+		for _, s := range p.servers() {
+			s.postpone(p)
 		}
 	}
 	p.server.engine.Write(p.writer(p.first), arrival)
--- a/core/allocator/cell.go
+++ b/core/allocator/cell.go
@@ -84,6 +84,38 @@
 	// reserved is the memory of the permits in tokens.
 	reserved int
 	streams  int
+	// pending are the permits whose prompts the server processes, in whole or in part.
+	pending []*permit
+}
+
+// settle takes the permit out of those whose prompts the server processes.
+func (s *server) settle(p *permit) {
+	s.pending = slices.DeleteFunc(s.pending, func(other *permit) bool { return other == p })
+}
+
+// postpone moves the predictions of the prompts that the permit's part goes before.
+func (s *server) postpone(p *permit) {
+	if p.parts == 1 {
+		return
+	}
+	for _, other := range s.pending {
+		if at, ok := s.engine.Expect(other.request.Stream); ok && other != p && at.After(other.first) {
+			other.first = at
+			other.server.engine.Postpone(other.request.Stream, at)
+		}
+	}
+}
+
+// delays returns the number of prompts at the server that would no longer be on time if a part went before them.
+func (s *server) delays(span time.Duration) float64 {
+	delayed := 0.0
+	for _, p := range s.pending {
+		target := p.request.Target
+		if at, ok := s.engine.Expect(p.request.Stream); ok && !p.first.After(target) && at.Add(span).After(target) {
+			delayed++
+		}
+	}
+	return delayed
 }
 
 func (s *server) free(law *dragonflypass.EngineLaw) int { return law.Memory - s.reserved }
--- a/core/allocator/place.go
+++ b/core/allocator/place.go
@@ -25,7 +25,7 @@
 	// strayTime is the processing time of a long prompt at a server kept for short ones that makes one of them late.
 	strayTime = 300 * time.Millisecond
 	// startWait is the longest wait at the servers for which a long prompt is granted its permit ahead.
-	startWait = 60 * time.Millisecond
+	startWait = 200 * time.Millisecond
 	// forceWait is the longest wait of a short prompt for servers at which it disturbs nobody.
 	forceWait = 60 * time.Millisecond
 	// harmLimit is the number of streams that may pause for too long so that a short prompt is not held up.
@@ -44,7 +44,7 @@
 	oversizePart = 0.9
 	// blockPart is the longest time for which one prompt may occupy its servers, as a part of the time to its
 	// target when it came: beyond that more worth is lost by those behind it.
-	blockPart = 0.45
+	blockPart = 0.6
 	// memoryMargin is the memory in tokens that is left free beside a reservation.
 	memoryMargin = 4000
 	// partsLimit is the largest number of servers that process one prompt.
@@ -358,13 +358,17 @@
 
 // weigh forecasts one part at the server.
 func (c *cell) weigh(w *waiting, s *server, parts int, short bool, now time.Time) option {
-	read := predictor.Part(w.request.Stream, w.request.PromptTokens, parts, parts > 1)
+	read := predictor.Read{Stream: w.request.Stream, Tokens: w.request.PromptTokens, Parts: parts}
 	f := s.outlook.Forecast(read)
 	o := option{server: s, done: f.Done, cost: f.Done.Sub(now), wait: f.Done.Sub(now) - w.reading/time.Duration(parts) - c.law.Pass(1, 0)}
 	if pause := s.outlook.Pause(); pause > 0 && f.Longest > pause-pauseMargin {
 		o.harmed = float64(s.engine.Harmed(f.Longest+pauseMargin, w.request.Priority))
 	}
-	if part := w.reading / time.Duration(parts); !short && s.rank < c.kept && part > shortPart {
+	part := w.reading / time.Duration(parts)
+	if parts > 1 {
+		o.harmed += s.delays(part)
+	}
+	if !short && s.rank < c.kept && part > shortPart {
 		// Short prompts that come to the server meanwhile wait for the part.
 		o.harmed += float64(part-shortPart) / float64(strayTime)
 	}
@@ -386,7 +390,7 @@
 func (a *Allocator) grant(c *cell, w *waiting, chosen choice, now time.Time) dragonflypass.Permit {
 	p := &permit{
 		request: w.request, cell: c, server: chosen.server, helpers: chosen.helpers, parts: 1 + len(chosen.helpers),
-		reserved: chosen.reserved, tokens: c.tokens(w), granted: now, first: chosen.done, heard: now,
+		reserved: chosen.reserved, tokens: c.tokens(w), granted: now, first: chosen.done, promised: chosen.done, heard: now,
 	}
 	a.permits[w.request.Stream] = p
 	a.place(p, now.Add(transit))
@@ -400,7 +404,7 @@
 		s.outlook = s.engine.Outlook(now.Add(transit))
 	}
 	a.Meter.Add(dragonflypass.CountPermitGranted, 1)
-	a.Logger.Info("permit granted", "id", w.request.ID, "server", p.server.entry.ID, "helpers", len(p.helpers), "short", p.short,
+	a.Logger.Info("permit granted", "id", w.request.ID, "server", p.server.entry.ID, "helpers", ids(p.helpers), "short", p.short,
 		"waited", now.Sub(w.since), "first", chosen.done.Sub(now), "streams", p.server.streams, "harmed", chosen.harmed,
 		"kept", c.kept, "servers", len(c.ranked), "waiting", len(c.waiting))
 	granted := dragonflypass.Permit{
@@ -417,6 +421,15 @@
 	return granted
 }
 
+// ids names the servers.
+func ids(servers []*server) []dragonflypass.ServerID {
+	named := make([]dragonflypass.ServerID, len(servers))
+	for i, s := range servers {
+		named[i] = s.entry.ID
+	}
+	return named
+}
+
 // reservationName is unique over all VMs and their restarts.
 func reservationName(stream dragonflypass.StreamID, index int) string {
 	return fmt.Sprintf("%s-%x-%d-%d", stream.VM, stream.Incarnation, stream.Sequence, index)
--- a/core/predictor/engine.go
+++ b/core/predictor/engine.go
@@ -16,12 +16,16 @@
 	// Tokens is the length of the whole prompt, and Parts the number of even parts it is processed in.
 	Tokens int
 	Parts  int
-	// Helped is set for a part at a server that only helps; such parts go before others.
-	Helped bool
-	// done is the number of tokens processed.
-	done float64
+	// done is the number of tokens processed, and planned what it comes to in the pass in progress, zero when the
+	// pass does not get to it.
+	done    float64
+	planned float64
 }
 
+// ahead reports whether the part goes before all that wait, as the parts of a divided prompt do; whole prompts are
+// processed in the order of their arrival.
+func (r *Read) ahead() bool { return r.Parts > 1 }
+
 // length is the part's number of tokens.
 func (r *Read) length() float64 { return float64(r.Tokens) / float64(r.Parts) }
 
@@ -64,8 +68,6 @@
 	ends  time.Time
 	// long is set while the pass in progress has generating streams.
 	long bool
-	// planned is how far the pass in progress comes with each read, in the order of reads.
-	planned []float64
 }
 
 // New returns the engine of an idle server.
@@ -74,28 +76,19 @@
 // Add gives the server a prompt or part at the instant.
 func (e *Engine) Add(read Read, now time.Time) {
 	e.Advance(now)
-	at := len(e.reads)
-	if read.Helped {
-		at = e.helped()
+	if read.ahead() {
+		e.reads = slices.Insert(e.reads, 0, read)
+	} else {
+		e.reads = append(e.reads, read)
 	}
-	// A part that goes before others waits for the pass in progress, whose reads are planned.
-	at = max(at, len(e.planned))
-	e.reads = slices.Insert(e.reads, at, read)
 	if e.idle() {
 		e.begin(now)
 	}
 }
 
 // idle reports whether the server does nothing, though a stream may be about to generate.
-func (e *Engine) idle() bool { return !e.long && len(e.planned) == 0 }
-
-// helped is the number of parts that go before others.
-func (e *Engine) helped() int {
-	n := 0
-	for n < len(e.reads) && e.reads[n].Helped {
-		n++
-	}
-	return n
+func (e *Engine) idle() bool {
+	return !e.long && !slices.ContainsFunc(e.reads, func(r Read) bool { return r.planned > 0 })
 }
 
 // Write adds a stream that generates from its instant on.
@@ -108,6 +101,15 @@
 	}
 }
 
+// Postpone has a stream begin to generate at the instant.
+func (e *Engine) Postpone(stream dragonflypass.StreamID, from time.Time) {
+	for i := range e.writers {
+		if e.writers[i].Stream == stream {
+			e.writers[i].From = from
+		}
+	}
+}
+
 // Stop takes a generating stream out.
 func (e *Engine) Stop(stream dragonflypass.StreamID) {
 	e.writers = slices.DeleteFunc(e.writers, func(w Writer) bool { return w.Stream == stream })
@@ -116,15 +118,7 @@
 // Drop takes a stream's prompt and answer out.
 func (e *Engine) Drop(stream dragonflypass.StreamID) {
 	e.Stop(stream)
-	for i := len(e.reads) - 1; i >= 0; i-- {
-		if e.reads[i].Stream != stream {
-			continue
-		}
-		e.reads = slices.Delete(e.reads, i, i+1)
-		if i < len(e.planned) {
-			e.planned = slices.Delete(e.planned, i, i+1)
-		}
-	}
+	e.reads = slices.DeleteFunc(e.reads, func(r Read) bool { return r.Stream == stream })
 }
 
 // Done takes a stream's processed part out, as when its end is known before it was predicted.
@@ -140,8 +134,8 @@
 		r := &e.reads[i]
 		if span := r.span(e.Law, r.left()); r.Stream == stream && span > left {
 			r.done = r.length() - r.left()*float64(left)/float64(span)
-			if i < len(e.planned) {
-				e.planned[i] = max(e.planned[i], r.done)
+			if r.planned > 0 {
+				r.planned = max(r.planned, r.done)
 			}
 		}
 	}
@@ -169,9 +163,9 @@
 			}
 		}
 	}
-	for i, come := range e.planned {
-		if e.reads[i].length()-come < 1 {
-			processed = append(processed, e.reads[i].Stream)
+	for i := range e.reads {
+		if r := &e.reads[i]; r.planned > 0 && r.length()-r.planned < 1 {
+			processed = append(processed, r.Stream)
 		}
 	}
 	e.begin(e.end())
@@ -180,10 +174,11 @@
 
 // end closes the pass in progress and returns the instant of its end.
 func (e *Engine) end() time.Time {
-	for i, come := range e.planned {
-		e.reads[i].done = come
+	for i := range e.reads {
+		if r := &e.reads[i]; r.planned > 0 {
+			r.done, r.planned = r.planned, 0
+		}
 	}
-	e.planned = e.planned[:0]
 	e.reads = slices.DeleteFunc(e.reads, func(r Read) bool { return r.left() < 1 })
 	return e.ends
 }
@@ -211,7 +206,6 @@
 	if e.long {
 		span, room = law.Pass(generating, context), float64(law.Stride*law.Chunk)
 	}
-	e.planned = e.planned[:0]
 	for i := range e.reads {
 		if room < 1 {
 			break
@@ -220,7 +214,7 @@
 		tokens := min(room, r.left())
 		span += r.span(law, tokens)
 		room -= tokens
-		e.planned = append(e.planned, r.done+tokens)
+		r.planned = r.done + tokens
 	}
 	e.ends = at.Add(time.Duration(e.Pace * float64(span)))
 }
--- a/core/predictor/forecast.go
+++ b/core/predictor/forecast.go
@@ -12,9 +12,8 @@
 	pace float64
 	// start is the end of the pass in progress, or the instant asked for when the server is idle.
 	start time.Time
-	// helped and own are the parts that wait for the passes after it, of prompts that the server
-	// helps with and of its own.
-	helped, own queue
+	// waiting are the parts that wait for the passes after it.
+	waiting queue
 	// pass is the time of a pass with the streams that generate, without the processing of prompts.
 	pass time.Duration
 	// writes is set when streams generate at the start, and from is the instant at which the next
@@ -51,17 +50,9 @@
 	}
 	for i := range e.reads {
 		r := e.reads[i]
-		if i < len(e.planned) {
-			r.done = e.planned[i]
-		}
-		left := r.left()
-		if left < 1 {
-			continue
-		}
-		if r.Helped {
-			o.helped.add(left, r.span(e.Law, left))
-		} else {
-			o.own.add(left, r.span(e.Law, left))
+		r.done = max(r.done, r.planned)
+		if left := r.left(); left >= 1 {
+			o.waiting.add(left, r.span(e.Law, left))
 		}
 	}
 	generating, context := 0, 0
@@ -89,10 +80,9 @@
 // Forecast predicts the end of a further part.
 func (o *Outlook) Forecast(read Read) Forecast {
 	own := read.span(o.law, read.length())
-	before, after := o.helped, o.own
-	if !read.Helped {
-		before.add(o.own.tokens, o.own.span)
-		after = queue{}
+	before, after := o.waiting, queue{}
+	if read.ahead() {
+		before, after = after, before
 	}
 	begins := o.start.Add(time.Duration(o.pace * float64(before.span)))
 	if !o.writes && (o.from.IsZero() || o.from.After(begins)) {
@@ -125,7 +115,36 @@
 	}
 }
 
-// Part returns the part of a prompt that one of several servers processes.
-func Part(stream dragonflypass.StreamID, tokens, parts int, helped bool) Read {
-	return Read{Stream: stream, Tokens: tokens, Parts: parts, Helped: helped}
+// Expect predicts the instant at which the stream's part will be processed; ok is false when it does not wait here.
+func (e *Engine) Expect(stream dragonflypass.StreamID) (at time.Time, ok bool) {
+	generating, context := 0, 0
+	for i := range e.writers {
+		if !e.writers[i].From.After(e.ends) {
+			generating++
+			context += e.writers[i].Context
+		}
+	}
+	var before queue
+	for i := range e.reads {
+		r := e.reads[i]
+		ends := r.Stream == stream && r.planned > 0 && r.length()-r.planned < 1
+		r.done = max(r.done, r.planned)
+		left := r.left()
+		before.add(left, r.span(e.Law, left))
+		if r.Stream != stream {
+			continue
+		}
+		if ends {
+			return e.ends, true
+		}
+		span := before.span
+		if generating > 0 {
+			passes := int(before.tokens/float64(e.Law.Stride*e.Law.Chunk)) + 1
+			span += time.Duration(passes) * e.Law.Pass(generating, context)
+		} else {
+			span += time.Duration(before.tokens / float64(e.Law.Chunk) * float64(e.Law.Step))
+		}
+		return e.ends.Add(time.Duration(e.Pace * float64(span))), true
+	}
+	return time.Time{}, false
 }
--- a/core/relayer/stream.go
+++ b/core/relayer/stream.go
@@ -17,6 +17,8 @@
 const (
 	// firstPatience is added to the predicted time to the first event before a stream counts as stalled.
 	firstPatience = 1500 * time.Millisecond
+	// latePatience is the time after the latency objective from which a stream without an event may count as stalled.
+	latePatience = 500 * time.Millisecond
 	// pausePatience is the least time without an event after which a stream counts as stalled: a caller leaves
 	// after two seconds, and another server needs some hundred ms.
 	pausePatience = 1600 * time.Millisecond
@@ -308,8 +310,12 @@
 	for _, h := range permit.Helpers {
 		open.held.Helpers = append(open.held.Helpers, h.Server)
 	}
-	patience := permit.First + max(firstPatience, j.route.Goal/2)
-	open.stalls.Store(r.Timer.Now().Add(patience).UnixNano())
+	// The owner may put more urgent prompts before this one as long as it stays on time.
+	stalls := r.Timer.Now().Add(permit.First + max(firstPatience, j.route.Goal/2))
+	if latest := j.exchange.Arrived.Add(j.route.Goal + latePatience); latest.After(stalls) {
+		stalls = latest
+	}
+	open.stalls.Store(stalls.UnixNano())
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
 	r.open[permit.Stream] = open
--- a/experiment/simulator/simulator.go
+++ b/experiment/simulator/simulator.go
@@ -180,9 +180,9 @@
 	}
 	p.streams[permit.Server]++
 	r.permit, r.granted, r.parts = permit, now, 1+len(permit.Helpers)
-	p.add(permit.Server, predictor.Part(r.id, r.tokens, r.parts, false), now)
+	p.add(permit.Server, predictor.Read{Stream: r.id, Tokens: r.tokens, Parts: r.parts}, now)
 	for _, h := range permit.Helpers {
-		p.add(h.Server, predictor.Part(r.id, r.tokens, r.parts, true), now)
+		p.add(h.Server, predictor.Read{Stream: r.id, Tokens: r.tokens, Parts: r.parts}, now)
 	}
 }
 
