--- a/core/retrier/budgets.go
+++ b/core/retrier/budgets.go
@@ -36,13 +36,13 @@
 func (b *Budgets) service(id dragonflypass.ServiceID) *Retrier {
 	reserve := ownPart * b.Slack / float64(max(1, b.VMs()))
 	b.mutex.Lock()
-	defer b.mutex.Unlock()
 	r, ok := b.services[id]
 	if !ok {
 		r = New()
 		r.saved = firstPart * reserve
 		b.services[id] = r
 	}
+	b.mutex.Unlock()
 	r.limit(ownPart*b.Ratio, reserve)
 	return r
 }
--- a/core/retrier/retrier.go
+++ b/core/retrier/retrier.go
@@ -27,7 +27,7 @@
 
 // New returns a retrier with its reserve full.
 func New() *Retrier {
-	return &Retrier{share: defaultShare, reserve: defaultReserve, saved: defaultReserve}
+	return &Retrier{mutex: locker.Mutex{Order: locker.Suspects}, share: defaultShare, reserve: defaultReserve, saved: defaultReserve}
 }
 
 // limit sets what a request earns and how much is saved up at most.
