Begin only what can end in time, and let no prompt wait for ever

Causes, found in virtual time: (1) a prompt whose parts take longer than 0.6 of the time to its target was never granted, also on idle servers, and several of them waited for each other until their deadlines; (2) a prompt was begun that could not end by its deadline, so that its stream was cut after 11 events; (3) requests of a VM that is cut off stayed in the owner's queue for ever, for their withdrawal never came.

Now only a shorter waiting prompt holds a longer one back, so that the shortest is never blocked; a request that no server can end by its deadline is refused at once; the owner gives up what waits beyond its deadline or for a VM that is not heard for the time of a lease.

Ruled out: waiting for the largest number of parts, which also starves.

--- a/core/allocator/allocator.go
+++ b/core/allocator/allocator.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"github.com/dragonflypass/dragonflypass"
@@ -28,6 +29,8 @@
 	calmTime  = 250 * time.Millisecond
 	// settleTime is how long after its grant a permit may be missing from its VM's heartbeats.
 	settleTime = time.Second
+	// forgetTime is how long a VM that is not heard is remembered.
+	forgetTime = time.Minute
 	// sweepEvery is the time between two looks at waiting requests and permits.
 	sweepEvery = 100 * time.Millisecond
 	// soonRetry is the time after which a refused caller is told to come back.
@@ -51,6 +54,8 @@
 	mutex   locker.Mutex
 	cells   map[dragonflypass.ServiceID]*cell
 	permits map[dragonflypass.StreamID]*permit
+	// heard holds the instant of the last word of each entry VM.
+	heard map[dragonflypass.VMID]time.Time
 }
 
 var _ dragonflypass.Owner = (*Allocator)(nil)
@@ -91,6 +96,7 @@
 		mutex:   locker.Mutex{Order: locker.Servers},
 		cells:   make(map[dragonflypass.ServiceID]*cell),
 		permits: make(map[dragonflypass.StreamID]*permit),
+		heard:   make(map[dragonflypass.VMID]time.Time),
 	}
 }
 
@@ -269,7 +275,7 @@
 	for _, p := range a.permits {
 		a.overdue(p, now)
 	}
-	var answers []told
+	answers := a.giveUp(now)
 	for _, c := range a.cells {
 		if len(c.waiting) > 0 {
 			answers = append(answers, a.dispatch(c, now)...)
@@ -279,6 +285,34 @@
 	tell(answers)
 }
 
+// giveUp takes out the waiting requests whose time has passed, or whose VM has not been heard for so long that it may
+// be gone without having withdrawn them; it is called with the mutex held.
+func (a *Allocator) giveUp(now time.Time) (answers []told) {
+	for _, c := range a.cells {
+		c.waiting = slices.DeleteFunc(c.waiting, func(w *waiting) bool {
+			heard := a.heard[w.request.Stream.VM]
+			if heard.Before(w.since) {
+				heard = w.since
+			}
+			switch {
+			case now.After(w.request.Deadline):
+				answers = append(answers, told{waiting: w, err: dragonflypass.Refuse(dragonflypass.ReasonTimeout, 0, "the request waited beyond its deadline")})
+			case now.Sub(heard) > leaseTime:
+				answers = append(answers, told{waiting: w, err: dragonflypass.Refuse(dragonflypass.ReasonCancelled, 0, "the VM is not heard")})
+			default:
+				return false
+			}
+			return true
+		})
+	}
+	for id, at := range a.heard {
+		if now.Sub(at) > forgetTime {
+			delete(a.heard, id)
+		}
+	}
+	return answers
+}
+
 // overdue has a prompt that is not known to be processed when predicted count as being processed still; it is
 // called with the mutex held.
 func (a *Allocator) overdue(p *permit, now time.Time) {
@@ -303,6 +337,7 @@
 	now := a.Timer.Now()
 	a.mutex.Lock()
 	defer a.mutex.Unlock()
+	a.heard[beat.From.ID] = now
 	for _, sequence := range beat.Kept {
 		id := dragonflypass.StreamID{VM: beat.From.ID, Incarnation: beat.Incarnation, Sequence: sequence}
 		if p, ok := a.permits[id]; ok {
--- a/core/allocator/cell.go
+++ b/core/allocator/cell.go
@@ -205,3 +205,32 @@
 	}
 	c.kept = max(1, min(c.kept, len(c.ranked)-1))
 }
+
+// Row is the accounting of one model server in a dump.
+type Row struct {
+	Service dragonflypass.ServiceID
+	Server  dragonflypass.ServerID
+	// Streams is the number of permits for streams at the server, and Pending that of prompts it processes, in whole or part.
+	Streams int
+	Pending int
+	// Reserved is the memory of the permits in tokens.
+	Reserved int
+	// Short is set when the server is kept for short prompts.
+	Short bool
+}
+
+// Rows returns the accounting for a dump, and the number of requests that wait.
+func (a *Allocator) Rows() (rows []Row, waiting int) {
+	a.mutex.Lock()
+	defer a.mutex.Unlock()
+	for _, c := range a.cells {
+		waiting += len(c.waiting)
+		for _, s := range c.ranked {
+			rows = append(rows, Row{
+				Service: c.service, Server: s.entry.ID, Streams: s.streams, Pending: len(s.pending), Reserved: s.reserved, Short: s.rank < c.kept,
+			})
+		}
+	}
+	slices.SortFunc(rows, func(x, y Row) int { return cmp.Compare(x.Server, y.Server) })
+	return rows, waiting
+}
--- a/core/allocator/place.go
+++ b/core/allocator/place.go
@@ -42,8 +42,8 @@
 	writerCost = 200 * time.Millisecond
 	// oversizePart is the part of a server's memory from which a prompt is spread over several.
 	oversizePart = 0.9
-	// blockPart is the longest time for which one prompt may occupy its servers, as a part of the time to its
-	// target when it came: beyond that more worth is lost by those behind it.
+	// blockPart is the longest time for which one prompt may occupy its servers while others wait, as a part of the
+	// time to its target when it came: beyond that more worth is lost by those behind it.
 	blockPart = 0.6
 	// memoryMargin is the memory in tokens that is left free beside a reservation.
 	memoryMargin = 4000
@@ -158,12 +158,15 @@
 	if len(usable) == 0 {
 		return told{waiting: w, err: dragonflypass.Refuse(dragonflypass.ReasonNoServer, soonRetry, "no server of the service can run the request")}, true
 	}
+	if now.Add(w.reading/time.Duration(min(len(usable), partsLimit)) + c.writing(w)).After(w.request.Deadline) {
+		return told{waiting: w, err: dragonflypass.Refuse(dragonflypass.ReasonTimeout, 0, "no server can end the request by its deadline")}, true
+	}
 	short := c.short(w)
 	if !short && (*tries == 0 || now.Before(c.calm)) {
 		return told{}, false
 	}
 	best, ok := c.best(w, usable, short, now)
-	if !ok || !a.acceptable(c, w, best, short, now) {
+	if !ok || best.done.Add(c.writing(w)).After(w.request.Deadline) || !a.acceptable(c, w, best, short, now) {
 		if !short {
 			*tries--
 		}
@@ -177,13 +180,27 @@
 	if short {
 		return best.harmed == 0 || (best.harmed <= harmLimit && now.Sub(w.since) >= forceWait)
 	}
-	parts := time.Duration(1 + len(best.helpers))
-	if w.reading/parts > time.Duration(blockPart*float64(w.request.Target.Sub(w.since))) {
+	if c.blocks(w, 1+len(best.helpers)) && c.holdsUp(w) {
 		return false
 	}
 	return best.harmed == 0 || (best.worth > 0 && c.pressed(w, now))
 }
 
+// writing is the least time in which the answer is generated once the prompt is processed.
+func (c *cell) writing(w *waiting) time.Duration { return time.Duration(c.answer(w)) * c.law.Step }
+
+// blocks reports whether the prompt would occupy so many servers for longer than those behind it can wait. One that
+// was late when it came, as the rest of a broken answer is, never does.
+func (c *cell) blocks(w *waiting, parts int) bool {
+	left := w.request.Target.Sub(w.since)
+	return left > 0 && w.reading/time.Duration(parts) > time.Duration(blockPart*float64(left))
+}
+
+// holdsUp reports whether shorter prompts wait, so that the shortest one that waits is never blocked.
+func (c *cell) holdsUp(w *waiting) bool {
+	return slices.ContainsFunc(c.waiting, func(other *waiting) bool { return other.reading < w.reading })
+}
+
 // pressed reports whether a long prompt has no time left to wait for servers at which it disturbs nobody.
 func (c *cell) pressed(w *waiting, now time.Time) bool {
 	return c.class(w, now) == classDue && c.latest(w).Sub(now) < slackMargin
@@ -348,12 +365,14 @@
 }
 
 // tokens is the memory that the request is expected to need.
-func (c *cell) tokens(w *waiting) int {
-	output := c.law.Answer
+func (c *cell) tokens(w *waiting) int { return w.request.PromptTokens + c.answer(w) }
+
+// answer is the expected length of the request's answer in tokens.
+func (c *cell) answer(w *waiting) int {
 	if w.request.OutputTokens > 0 {
-		output = min(output, w.request.OutputTokens)
+		return min(c.law.Answer, w.request.OutputTokens)
 	}
-	return w.request.PromptTokens + output
+	return c.law.Answer
 }
 
 // weigh forecasts one part at the server.
