--- a/core/assessor/assessor.go
+++ b/core/assessor/assessor.go
@@ -25,13 +25,13 @@
 
 // The outcomes.
 const (
-	// Answered means that the server's own answer came, whatever it was.
+	// Answered means that the server's own answer came, and does not say that the server failed.
 	Answered Outcome = iota
-	// Failed means that the server broke off or did not answer in time.
+	// Failed means that the server broke off, did not answer in time, or said that it failed or takes no work.
 	Failed
 	// Unreached means that no connection to the server could be made.
 	Unreached
-	// Declined means that the server stated that it did not run the request.
+	// Declined means that the server stated that the request itself is faulty.
 	Declined
 	// Unjudged means that the end tells nothing of the server, as when the caller went away.
 	Unjudged
--- a/core/relayer/whole.go
+++ b/core/relayer/whole.go
@@ -94,15 +94,20 @@
 	delivery.Address = entry.Address
 	a, err := r.exchange(ctx, delivery)
 	outcome := assessor.Answered
+	var declined *dragonflypass.ServerRefusal
 	switch {
+	case err == nil && a.head.Status >= serverFault:
+		outcome = assessor.Failed
 	case err == nil:
 	case errors.Is(err, dragonflypass.ErrUnavailable):
 		outcome = assessor.Unjudged
 		if ctx.Err() == nil {
 			r.Unreached(entry.ID)
 		}
-	case errors.Is(err, dragonflypass.ErrRefused):
+	case errors.As(err, &declined) && declined.Invalid:
 		outcome = assessor.Declined
+	case errors.Is(err, dragonflypass.ErrRefused):
+		outcome = assessor.Failed
 	default:
 		outcome = judged(ctx, assessor.Failed)
 		r.suspect(ctx, j, entry.ID, err)
