Read the routing at once where no other VM vouches for it

Cause: a VM that reads by itself, because the others sent no proof for 1.5 s, had the store hold the read back for a second; the proof was then a second old, and a VM next to a cut refused requests to unknown routes as unsure (1 run of 6 of TestRelayStopsRevokedKeys). It now asks without waiting. 40 runs of the test pass.

--- a/core/follower/follower.go
+++ b/core/follower/follower.go
@@ -80,13 +80,13 @@
 // Read reads the store once, unless another VM does and its news are fresh.
 func (f *Follower) Read(ctx context.Context) {
 	began := f.Timer.Uptime()
-	from, due := f.due(began)
+	from, wait, due := f.due(began)
 	if !due {
 		return
 	}
-	ctx, cancel := f.Timer.WithDeadline(ctx, f.Timer.Now().Add(f.Wait+callMargin))
+	ctx, cancel := f.Timer.WithDeadline(ctx, f.Timer.Now().Add(wait+callMargin))
 	defer cancel()
-	page, whole, err := f.read(ctx, from)
+	page, whole, err := f.read(ctx, from, wait)
 	if err != nil {
 		f.failed(err)
 		return
@@ -94,18 +94,21 @@
 	f.take(page, whole, began, "store")
 }
 
-// due returns the offset to read from and whether this VM has to read.
-func (f *Follower) due(now time.Duration) (dragonflypass.Offset, bool) {
-	leads := f.Leads()
+// due returns the offset to read from, how long the store is to hold the read back, and whether this VM has to read. One
+// that reads because no proof came from the others needs one at once: a proof is as old as the beginning of its read.
+func (f *Follower) due(now time.Duration) (from dragonflypass.Offset, wait time.Duration, due bool) {
+	if f.Leads() {
+		wait, due = f.Wait, true
+	}
 	f.mutex.Lock()
 	defer f.mutex.Unlock()
-	return f.end, leads || !f.known || now-f.proved > f.Patience
+	return f.end, wait, due || !f.known || now-f.proved > f.Patience
 }
 
 // read returns what has changed, or the whole topic where the changes are no longer kept.
-func (f *Follower) read(ctx context.Context, from dragonflypass.Offset) (page dragonflypass.UpdatePage, whole bool, err error) {
+func (f *Follower) read(ctx context.Context, from dragonflypass.Offset, wait time.Duration) (page dragonflypass.UpdatePage, whole bool, err error) {
 	if f.Known() {
-		page, err = f.Store.Changes(ctx, f.Topic, from, f.Wait)
+		page, err = f.Store.Changes(ctx, f.Topic, from, wait)
 		if !errors.Is(err, dragonflypass.ErrTrimmed) {
 			return page, false, err
 		}
