--- a/cmd/dragonflybench/main.go
+++ b/cmd/dragonflybench/main.go
@@ -18,7 +18,7 @@
 		SilenceUsage:  true,
 		SilenceErrors: true,
 	}
-	root.AddCommand(newPolicyCommand(), newContrastCommand(), newSlopesCommand(), newRelayCommand(), newVersionCommand())
+	root.AddCommand(newPolicyCommand(), newContrastCommand(), newSlopesCommand(), newRelayCommand(), newSimulateCommand(), newVersionCommand())
 	if err := root.Execute(); err != nil {
 		fmt.Fprintln(os.Stderr, "dragonflybench:", err)
 		os.Exit(1)
--- a/experiment/simulator/simulator.go
+++ b/experiment/simulator/simulator.go
@@ -263,3 +263,27 @@
 		p.allocator.Release(dragonflypass.PermitRelease{Stream: r.id, Server: permit.Server, Outcome: outcome})
 	})
 }
+
+// Mean returns the mean worth of several days of one site, with the numbers of their requests added up.
+func Mean(outcomes []Outcome) Outcome {
+	var sum Outcome
+	parts := float64(len(outcomes))
+	for _, o := range outcomes {
+		sum.Mean += o.Mean / parts
+		sum.Worst += o.Worst / parts
+		if sum.Kinds == nil {
+			sum.Kinds = make([]Result, len(o.Kinds))
+		}
+		for i, k := range o.Kinds {
+			s := &sum.Kinds[i]
+			s.Kind = k.Kind
+			s.Asked += k.Asked
+			s.OnTime += k.OnTime
+			s.Late += k.Late
+			s.Firsts += k.Firsts
+			s.Pauses += k.Pauses
+			s.Worth += k.Worth / parts
+		}
+	}
+	return sum
+}
--- a/experiment/simulator/simulator_test.go
+++ b/experiment/simulator/simulator_test.go
@@ -1,64 +1,60 @@
 package simulator
 
 import (
+	"bytes"
 	"fmt"
-	"io"
-	"os"
-	"sync"
 	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
 )
 
-func TestTry(t *testing.T) {
-	const seeds = 8
-	total := 0.0
-	days := []struct {
-		name   string
-		site   Site
-		bursts []Burst
-		scale  float64
-	}{
-		{"cop calm", Copenhagen(), nil, 1},
-		{"cop turning", Copenhagen(), Turning(), 0.8},
-		{"cop peaks", Copenhagen(), Peaks(), 1.1},
-		{"bm turning", BinhMinh(), Turning(), 0.8},
-		{"bm peaks", BinhMinh(), Peaks(), 1.1},
-	}
-	for _, day := range days {
-		day.site.Bursts, day.site.Scale = day.bursts, day.scale
-		outcomes := make([]Outcome, seeds)
-		var wg sync.WaitGroup
-		for seed := range seeds {
-			wg.Go(func() {
-				var trace io.Writer
-				if os.Getenv("TRACE") == fmt.Sprintf("%s %d", day.name, seed) {
-					trace = os.Stdout
-				}
-				outcomes[seed] = Play(day.site, uint64(seed), trace)
-			})
-		}
-		wg.Wait()
-		mean, worst := 0.0, 0.0
-		var kinds [3]Result
-		worth := [3]float64{}
-		for _, o := range outcomes {
-			mean += o.Mean / seeds
-			worst += o.Worst / seeds
-			for i, k := range o.Kinds {
-				kinds[i].Kind = k.Kind
-				kinds[i].Asked += k.Asked
-				kinds[i].OnTime += k.OnTime
-				kinds[i].Late += k.Late
-				kinds[i].Firsts += k.Firsts
-				kinds[i].Pauses += k.Pauses
-				worth[i] += k.Worth / seeds
+// The least parts of the worth that a day must earn: each kind of request earns 0.8 of its worth on quiet days, and no
+// day less than half.
+const (
+	quietWorth = 0.8
+	leastWorth = 0.5
+)
+
+// short is the length of the days that the tests play.
+const short = 12 * time.Second
+
+func TestQuietDays(t *testing.T) {
+	for _, site := range []Site{Copenhagen(), BinhMinh()} {
+		t.Run(site.Name, func(t *testing.T) {
+			c := qt.New(t)
+			site.Length, site.Scale = short, 0.8
+			outcome := Play(site, 1, nil)
+			for _, kind := range outcome.Kinds {
+				c.Check(kind.Worth >= quietWorth, qt.IsTrue, qt.Commentf("%+v", kind))
+				c.Check(kind.Asked > 0, qt.IsTrue)
 			}
-		}
-		total += (mean + worst) / 2 / float64(len(days))
-		fmt.Printf("%-12s mean %.3f worst %.3f", day.name, mean, worst)
-		for i, k := range kinds {
-			fmt.Printf(" | %s %.3f on %d/%d late %d first %d pause %d", k.Kind[:4], worth[i], k.OnTime, k.Asked, k.Late, k.Firsts, k.Pauses)
-		}
-		fmt.Println()
+		})
+	}
+}
+
+func TestDaysOfChange(t *testing.T) {
+	for name, bursts := range map[string][]Burst{"turning": Turning(), "peaks": Peaks()} {
+		t.Run(name, func(t *testing.T) {
+			c := qt.New(t)
+			site := Copenhagen()
+			site.Length, site.Bursts = short, bursts
+			outcome := Play(site, 2, nil)
+			c.Check(outcome.Mean >= leastWorth, qt.IsTrue, qt.Commentf("%+v", outcome))
+		})
+	}
+}
+
+// TestSameSeedSameDay plays a day twice.
+func TestSameSeedSameDay(t *testing.T) {
+	c := qt.New(t)
+	site := BinhMinh()
+	site.Length = short / 2
+	var traces [2]bytes.Buffer
+	var outcomes [2]string
+	for i := range outcomes {
+		outcomes[i] = fmt.Sprintf("%+v", Play(site, 3, &traces[i]))
 	}
-	fmt.Printf("total %.4f\n", total)
+	c.Check(outcomes[0], qt.Equals, outcomes[1])
+	c.Check(traces[0].String(), qt.Equals, traces[1].String())
 }
--- a/experiment/simulator/site.go
+++ b/experiment/simulator/site.go
@@ -110,3 +110,17 @@
 }
 
 func seconds(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
+
+// Days returns the days on which policies are compared: a calm one, days whose mix turns over and days with peaks.
+func Days() []Site {
+	days := []Site{Copenhagen(), Copenhagen(), Copenhagen(), BinhMinh(), BinhMinh()}
+	for i, change := range []struct {
+		name   string
+		bursts []Burst
+		scale  float64
+	}{{"calm", nil, 1}, {"turning", Turning(), 0.8}, {"peaks", Peaks(), 1.1}, {"turning", Turning(), 0.8}, {"peaks", Peaks(), 1.1}} {
+		days[i].Name += " " + change.name
+		days[i].Bursts, days[i].Scale = change.bursts, change.scale
+	}
+	return days
+}
