--- a/cmd/dragonflyctl/node.go
+++ b/cmd/dragonflyctl/node.go
@@ -26,7 +26,9 @@
 				if err := c.callOne(command.Context(), address, http.MethodGet, "/debug/state", nil, &state); err != nil {
 					return fmt.Errorf("%s: %w", address, err)
 				}
-				var named administrator.State
+				var named struct {
+					VM string `json:"vm"`
+				}
 				if err := json.Unmarshal(state, &named); err != nil {
 					return err
 				}
