Write log lines from a goroutine of their own, serve metrics, dump the state, read the settings anew

Lines were written under the allocator's lock. They now wait in a bounded queue; what does not fit is dropped by kind and counted, equal lines and those beyond 500 a second of a kind are gathered with a count, and an output that takes nothing blocks nobody (test).

The metrics address shows counters, present values and quantiles by service, outcome, rank and length class as text, all variables, and a dump of members, owners, registry, permits, streams, budgets and suspects, which SIGUSR1 writes too. SIGHUP takes over the log level and names what needs a new start.

--- a/adapter/assembler/relay.go
+++ b/adapter/assembler/relay.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"net/netip"
+	"runtime/debug"
 	"sync"
 	"time"
 
@@ -16,7 +17,9 @@
 	"github.com/dragonflypass/dragonflypass"
 	"github.com/dragonflypass/dragonflypass/adapter/counter"
 	"github.com/dragonflypass/dragonflypass/adapter/dialer"
+	"github.com/dragonflypass/dragonflypass/adapter/exposer"
 	"github.com/dragonflypass/dragonflypass/adapter/loader"
+	"github.com/dragonflypass/dragonflypass/adapter/logger"
 	"github.com/dragonflypass/dragonflypass/adapter/messenger"
 	"github.com/dragonflypass/dragonflypass/adapter/timer"
 	"github.com/dragonflypass/dragonflypass/core/composer"
@@ -47,9 +50,10 @@
 		fx.NopLogger,
 		fx.Supply(settings),
 		fx.Provide(
-			func() (dragonflypass.Logger, error) {
-				return newLogger(&loader.Settings{Name: settings.Name, Log: loader.Log{Level: settings.Log.Level, Format: "json"}}, output)
-			},
+			fx.Annotate(
+				func(meter dragonflypass.Meter) (*logger.Logger, error) { return newLines(settings, output, meter) },
+				fx.As(fx.Self()), fx.As(new(dragonflypass.Logger)),
+			),
 			fx.Annotate(counter.New, fx.As(fx.Self()), fx.As(new(dragonflypass.Meter))),
 			fx.Annotate(newRelayPool, fx.As(fx.Self()), fx.As(new(dragonflypass.Pool))),
 			fx.Annotate(timer.New, fx.As(fx.Self()), fx.As(new(dragonflypass.Timer))),
@@ -61,6 +65,15 @@
 	)
 }
 
+func newLines(settings *loader.RelaySettings, output io.Writer, meter dragonflypass.Meter) (*logger.Logger, error) {
+	l, err := logger.New(settings.Log.Level)
+	if err != nil {
+		return nil, err
+	}
+	l.VM, l.Output, l.Meter = settings.Name, output, meter
+	return l, nil
+}
+
 func newRelayPool(settings *loader.RelaySettings, meter dragonflypass.Meter) *worker.Pool {
 	return &worker.Pool{Workers: settings.Workers, Room: poolRoom, Meter: meter}
 }
@@ -115,6 +128,9 @@
 	Core     *composer.Relay
 	Metrics  *counter.Counter
 
+	// Pages shows what the process counts and believes.
+	Pages *exposer.Exposer
+
 	parts   relayParts
 	callers *platform.Callers
 	peers   *messenger.Server
@@ -132,6 +148,7 @@
 	Store   *platform.Store
 	Servers *platform.Servers
 	Client  *messenger.Client
+	Lines   *logger.Logger
 	Logger  dragonflypass.Logger
 }
 
@@ -142,6 +159,7 @@
 	parts.Client.Lost = core.Detector.Doubt
 	n.peers = messenger.NewServer()
 	n.peers.Pool, n.peers.Meter, n.peers.Handler = parts.Pool, metrics, core.Handler()
+	n.Pages = &exposer.Exposer{Core: core, Metrics: metrics, Busy: n.callers.Busy}
 	lifecycle.Append(fx.Hook{OnStart: n.start, OnStop: n.stop})
 	return n
 }
@@ -157,6 +175,8 @@
 func (n *RelayNode) start(context.Context) error {
 	ctx, cancel := context.WithCancel(context.Background())
 	n.cancel = cancel
+	// The lines end last, once all else has.
+	go n.parts.Lines.Run(context.Background())
 	for _, run := range []func(context.Context){n.parts.Pool.Run, n.parts.Timer.Run, n.Core.Run} {
 		n.running.Go(func() { run(ctx) })
 	}
@@ -169,8 +189,13 @@
 			return err
 		}
 	}
+	if listen.Metrics.IsValid() {
+		if err := n.serve(listen.Metrics, n.Pages.Handler()); err != nil {
+			n.parts.Logger.Warn("metrics not served", "address", listen.Metrics, "error", err)
+		}
+	}
 	n.running.Go(func() { n.announce(ctx) })
-	n.parts.Logger.Info("started", "zone", n.Settings.Zone, "callers", listen.Callers, "peers", listen.Peers)
+	n.parts.Logger.Info("started", "build", Build(), "zone", n.Settings.Zone, "callers", listen.Callers, "peers", listen.Peers)
 	return nil
 }
 
@@ -228,6 +253,7 @@
 	n.running.Wait()
 	n.parts.Store.Close()
 	n.parts.Servers.Close()
+	n.parts.Lines.Close()
 	return nil
 }
 
@@ -240,3 +266,48 @@
 	case <-ctx.Done():
 	}
 }
+
+// Reload takes over the settings that can change while the process runs; it names those that need a new start.
+func (n *RelayNode) Reload(settings *loader.RelaySettings) {
+	var applied, left []string
+	if settings.Log.Level != n.Settings.Log.Level {
+		// The level was checked with the settings.
+		_ = n.parts.Lines.SetLevel(settings.Log.Level)
+		applied = append(applied, "log.level")
+	}
+	old, fresh := *n.Settings, *settings
+	old.Log, fresh.Log = loader.Log{}, loader.Log{}
+	for _, part := range []struct {
+		name string
+		same bool
+	}{
+		{"name", old.Name == fresh.Name}, {"zone", old.Zone == fresh.Zone}, {"listen", old.Listen == fresh.Listen},
+		{"store", old.Store == fresh.Store}, {"limits", old.Limits == fresh.Limits}, {"times", old.Times == fresh.Times},
+		{"budget", old.Budget == fresh.Budget}, {"workers", old.Workers == fresh.Workers},
+	} {
+		if !part.same {
+			left = append(left, part.name)
+		}
+	}
+	n.Settings.Log = settings.Log
+	n.parts.Logger.Info("settings read anew", "applied", applied, "need_new_start", left)
+}
+
+// Rejected notes that settings read anew are not used.
+func (n *RelayNode) Rejected(err error) {
+	n.parts.Logger.Warn("settings rejected", "error", err)
+}
+
+// Build names the commit that the program was built from.
+func Build() string {
+	info, ok := debug.ReadBuildInfo()
+	if !ok {
+		return "unknown"
+	}
+	for _, setting := range info.Settings {
+		if setting.Key == "vcs.revision" {
+			return setting.Value
+		}
+	}
+	return info.Main.Version
+}
--- a/adapter/counter/counter.go
+++ b/adapter/counter/counter.go
@@ -1,8 +1,13 @@
 package counter
 
 import (
+	"bytes"
+	"cmp"
 	"expvar"
 	"fmt"
+	"io"
+	"maps"
+	"slices"
 	"sync"
 	"time"
 
@@ -24,6 +29,20 @@
 
 	mutex      sync.Mutex
 	histograms map[key]*hdrhistogram.Histogram
+	endings    map[endKey]*ending
+}
+
+// endKey is what exchanges that ended alike have in common.
+type endKey struct {
+	service dragonflypass.ServiceID
+	outcome dragonflypass.Reason
+	rank    dragonflypass.Rank
+	class   dragonflypass.LengthClass
+}
+
+// ending holds the times of exchanges that ended alike; first is nil while none had a first piece.
+type ending struct {
+	whole, first *hdrhistogram.Histogram
 }
 
 type key struct {
@@ -39,6 +58,7 @@
 	return &Counter{
 		counters:   new(expvar.Map).Init(),
 		histograms: make(map[key]*hdrhistogram.Histogram),
+		endings:    make(map[endKey]*ending),
 	}
 }
 
@@ -54,12 +74,74 @@
 	defer c.mutex.Unlock()
 	h, ok := c.histograms[k]
 	if !ok {
-		h = hdrhistogram.New(1, longest.Microseconds(), digits)
+		h = newHistogram()
 		c.histograms[k] = h
 	}
+	record(h, span)
+}
+
+func newHistogram() *hdrhistogram.Histogram {
+	return hdrhistogram.New(1, longest.Microseconds(), digits)
+}
+
+// record adds the span, which is brought within the histogram's bounds.
+func record(h *hdrhistogram.Histogram, span time.Duration) {
 	_ = h.RecordValue(max(1, min(span, longest).Microseconds()))
 }
 
+// End records the end of an exchange.
+func (c *Counter) End(end dragonflypass.Ending) {
+	k := endKey{service: end.Service, outcome: end.Outcome, rank: end.Rank, class: end.Class}
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	e, ok := c.endings[k]
+	if !ok {
+		e = &ending{whole: newHistogram()}
+		c.endings[k] = e
+	}
+	record(e.whole, end.Whole)
+	if end.First < 0 {
+		return
+	}
+	if e.first == nil {
+		e.first = newHistogram()
+	}
+	record(e.first, end.First)
+}
+
+// quantiles are those written as text.
+var quantiles = []float64{50, 95, 99}
+
+// WriteText writes the counters and quantiles, one to a line, spans in milliseconds.
+func (c *Counter) WriteText(w io.Writer) error {
+	var text bytes.Buffer
+	c.counters.Do(func(kv expvar.KeyValue) { fmt.Fprintf(&text, "%s %s\n", kv.Key, kv.Value) })
+	c.mutex.Lock()
+	for _, k := range slices.SortedFunc(maps.Keys(c.endings), endKey.compare) {
+		e := c.endings[k]
+		labels := fmt.Sprintf("service=%q,outcome=%q,rank=%q,class=%q", k.service, cmp.Or(k.outcome, "answered"), k.rank, k.class)
+		fmt.Fprintf(&text, "requests_ended{%s} %d\n", labels, e.whole.TotalCount())
+		writeQuantiles(&text, "request_whole_ms", labels, e.whole)
+		if e.first != nil {
+			writeQuantiles(&text, "request_first_ms", labels, e.first)
+		}
+	}
+	c.mutex.Unlock()
+	_, err := w.Write(text.Bytes())
+	return err
+}
+
+func (k endKey) compare(other endKey) int {
+	return cmp.Or(cmp.Compare(k.service, other.service), cmp.Compare(k.outcome, other.outcome), cmp.Compare(k.rank, other.rank), cmp.Compare(k.class, other.class))
+}
+
+func writeQuantiles(text *bytes.Buffer, name, labels string, h *hdrhistogram.Histogram) {
+	for _, q := range quantiles {
+		span := time.Duration(h.ValueAtQuantile(q)) * time.Microsecond
+		fmt.Fprintf(text, "%s{%s,quantile=\"%g\"} %g\n", name, labels, q/100, float64(span)/float64(time.Millisecond))
+	}
+}
+
 // Count returns a counter's value.
 func (c *Counter) Count(counter dragonflypass.Counter) int64 {
 	if v, ok := c.counters.Get(string(counter)).(*expvar.Int); ok {
--- /dev/null
+++ b/adapter/exposer/dump.go
@@ -0,0 +1,147 @@
+package exposer
+
+import (
+	"net/netip"
+	"time"
+
+	"github.com/dragonflypass/dragonflypass"
+	"github.com/dragonflypass/dragonflypass/core/composer"
+)
+
+// Dump is the state of an entry VM that relays exchanges; names that end in _ms are spans in milliseconds.
+type Dump struct {
+	VM          dragonflypass.VMID             `json:"vm"`
+	Zone        dragonflypass.AvailabilityZone `json:"zone"`
+	Incarnation uint64                         `json:"incarnation"`
+	At          time.Time                      `json:"at"`
+	Ready       bool                           `json:"ready"`
+	Leaving     bool                           `json:"leaving"`
+	Requests    int                            `json:"requests"`
+	Routing     uint64                         `json:"routing"`
+	Topics      []Topic                        `json:"topics"`
+	Members     []Member                       `json:"members"`
+	Owners      []Owner                        `json:"owners"`
+	Registry    []Entry                        `json:"registry"`
+	Failing     []Failing                      `json:"failing"`
+	Waiting     int                            `json:"waiting"`
+	Servers     []Server                       `json:"servers"`
+	Streams     []Stream                       `json:"streams"`
+	Budgets     []Budget                       `json:"budgets"`
+	Suspects    []Suspect                      `json:"suspects"`
+}
+
+// Topic is how far a topic of the store has been read, and how long ago it was proved current.
+type Topic struct {
+	Topic dragonflypass.Topic `json:"topic"`
+	End   uint64              `json:"end"`
+	Known bool                `json:"known"`
+	Age   int64               `json:"age_ms"`
+}
+
+// Member is another entry VM.
+type Member struct {
+	VM    dragonflypass.VMID             `json:"vm"`
+	Zone  dragonflypass.AvailabilityZone `json:"zone"`
+	Peer  netip.AddrPort                 `json:"peer"`
+	State string                         `json:"state"`
+	Heard time.Time                      `json:"heard"`
+}
+
+// Owner is the VM that is asked for permits of a service.
+type Owner struct {
+	Service dragonflypass.ServiceID `json:"service"`
+	VM      dragonflypass.VMID      `json:"vm"`
+}
+
+// Entry is a backend server that may be given work.
+type Entry struct {
+	Server  dragonflypass.ServerID         `json:"server"`
+	Service dragonflypass.ServiceID        `json:"service"`
+	Zone    dragonflypass.AvailabilityZone `json:"zone"`
+	Address netip.AddrPort                 `json:"address"`
+	Born    int64                          `json:"born"`
+}
+
+// Failing is a backend server that failed lately.
+type Failing struct {
+	Server    dragonflypass.ServerID `json:"server"`
+	Failures  int                    `json:"failures"`
+	Unreached bool                   `json:"unreached"`
+	Out       time.Time              `json:"out"`
+}
+
+// Server is the accounting of a model server; Reserved is in tokens.
+type Server struct {
+	Service  dragonflypass.ServiceID `json:"service"`
+	Server   dragonflypass.ServerID  `json:"server"`
+	Streams  int                     `json:"streams"`
+	Pending  int                     `json:"pending"`
+	Reserved int                     `json:"reserved"`
+	Short    bool                    `json:"short"`
+}
+
+// Stream is an open stream.
+type Stream struct {
+	ID        string                   `json:"id"`
+	Service   dragonflypass.ServiceID  `json:"service"`
+	Server    dragonflypass.ServerID   `json:"server"`
+	Helpers   []dragonflypass.ServerID `json:"helpers,omitempty"`
+	Owner     dragonflypass.VMID       `json:"owner"`
+	Began     time.Time                `json:"began"`
+	First     time.Time                `json:"first"`
+	Prefilled bool                     `json:"prefilled"`
+	Deadline  time.Time                `json:"deadline"`
+}
+
+// Budget is the number of repeats that a service's budget has.
+type Budget struct {
+	Service dragonflypass.ServiceID `json:"service"`
+	Saved   float64                 `json:"saved"`
+}
+
+// Suspect is a request that crashed backend servers.
+type Suspect struct {
+	Account dragonflypass.AccountID `json:"account"`
+	Model   dragonflypass.ModelID   `json:"model"`
+	Crashes int                     `json:"crashes"`
+	Until   time.Time               `json:"until"`
+}
+
+// newDump translates the state.
+func newDump(s composer.RelayState, requests int) Dump {
+	d := Dump{
+		VM: s.Self.ID, Zone: s.Self.Zone, Incarnation: s.Incarnation, At: s.At, Ready: s.Ready, Leaving: s.Leaving,
+		Requests: requests, Routing: s.Routing, Waiting: s.Waiting,
+	}
+	for _, t := range s.Topics {
+		d.Topics = append(d.Topics, Topic{Topic: t.Topic, End: uint64(t.End), Known: t.Known, Age: t.Age.Milliseconds()})
+	}
+	for _, m := range s.Members {
+		d.Members = append(d.Members, Member{VM: m.VM.ID, Zone: m.VM.Zone, Peer: m.VM.Peer, State: m.State.String(), Heard: m.Heard})
+	}
+	for _, o := range s.Owners {
+		d.Owners = append(d.Owners, Owner(o))
+	}
+	for _, e := range s.Registry {
+		d.Registry = append(d.Registry, Entry{Server: e.ID, Service: e.Service, Zone: e.Zone, Address: e.Address, Born: e.Born})
+	}
+	for _, f := range s.Failing {
+		d.Failing = append(d.Failing, Failing(f))
+	}
+	for _, row := range s.Servers {
+		d.Servers = append(d.Servers, Server(row))
+	}
+	for _, r := range s.Streams {
+		d.Streams = append(d.Streams, Stream{
+			ID: r.ID, Service: r.Service, Server: r.Server, Helpers: r.Helpers, Owner: r.Owner,
+			Began: r.Began, First: r.First, Prefilled: r.Prefilled, Deadline: r.Deadline,
+		})
+	}
+	for _, b := range s.Budgets {
+		d.Budgets = append(d.Budgets, Budget(b))
+	}
+	for _, q := range s.Suspects {
+		d.Suspects = append(d.Suspects, Suspect(q))
+	}
+	return d
+}
--- /dev/null
+++ b/adapter/exposer/exposer.go
@@ -0,0 +1,79 @@
+package exposer
+
+import (
+	"encoding/json"
+	"expvar"
+	"fmt"
+	"io"
+	"net/http"
+
+	"github.com/gorilla/mux"
+
+	"github.com/dragonflypass/dragonflypass/adapter/counter"
+	"github.com/dragonflypass/dragonflypass/core/composer"
+)
+
+// Exposer answers operators; nothing that it shows names a key or a prompt.
+type Exposer struct {
+	Core    *composer.Relay
+	Metrics *counter.Counter
+	// Busy returns the number of requests in progress.
+	Busy func() int
+}
+
+// Handler returns the pages.
+func (e *Exposer) Handler() http.Handler {
+	router := mux.NewRouter()
+	router.HandleFunc("/metrics", e.showMetrics).Methods(http.MethodGet)
+	router.HandleFunc("/debug/vars", e.showVariables).Methods(http.MethodGet)
+	router.HandleFunc("/debug/state", e.showState).Methods(http.MethodGet)
+	return router
+}
+
+// showMetrics writes the present values, the counters and the quantiles; spans are in milliseconds.
+func (e *Exposer) showMetrics(w http.ResponseWriter, _ *http.Request) {
+	w.Header().Set("Content-Type", "text/plain; charset=utf-8")
+	state := e.Core.State()
+	fmt.Fprintf(w, "ready %d\nrequests_open %d\nstreams_open %d\npermits_waiting %d\nrouting_version %d\n",
+		number(state.Ready), e.Busy(), len(state.Streams), state.Waiting, state.Routing)
+	for _, topic := range state.Topics {
+		fmt.Fprintf(w, "topic_age_ms{topic=%q} %d\n", topic.Topic, topic.Age.Milliseconds())
+	}
+	members := make(map[string]int)
+	for _, member := range state.Members {
+		members[member.State.String()]++
+	}
+	for _, name := range []string{"live", "suspect", "leaving", "gone"} {
+		fmt.Fprintf(w, "members{state=%q} %d\n", name, members[name])
+	}
+	fmt.Fprintf(w, "servers_registered %d\nservers_failing %d\n", len(state.Registry), len(state.Failing))
+	for _, budget := range state.Budgets {
+		fmt.Fprintf(w, "retry_budget{service=%q} %.1f\n", budget.Service, budget.Saved)
+	}
+	// The connection takes the rest or is gone.
+	_ = e.Metrics.WriteText(w)
+}
+
+func number(flag bool) int {
+	if flag {
+		return 1
+	}
+	return 0
+}
+
+func (e *Exposer) showVariables(w http.ResponseWriter, _ *http.Request) {
+	w.Header().Set("Content-Type", "application/json")
+	_, _ = io.WriteString(w, expvar.Var(e.Metrics).String())
+}
+
+func (e *Exposer) showState(w http.ResponseWriter, _ *http.Request) {
+	w.Header().Set("Content-Type", "application/json")
+	_ = e.WriteState(w)
+}
+
+// WriteState writes a dump of the state.
+func (e *Exposer) WriteState(w io.Writer) error {
+	encoder := json.NewEncoder(w)
+	encoder.SetIndent("", " ")
+	return encoder.Encode(newDump(e.Core.State(), e.Busy()))
+}
--- a/cmd/dragonflypass/check.go
+++ b/cmd/dragonflypass/check.go
@@ -10,13 +10,14 @@
 
 func newCheckCommand() *cobra.Command {
 	var file string
+	var relay bool
 	command := &cobra.Command{
 		Use:     "check",
 		Short:   "Check settings without starting anything",
 		Example: "  dragonflypass check --settings settings.json",
 		Args:    cobra.NoArgs,
 		RunE: func(command *cobra.Command, _ []string) error {
-			if _, err := loader.Load(file); err != nil {
+			if err := check(file, relay); err != nil {
 				return err
 			}
 			fmt.Fprintln(command.OutOrStdout(), "the settings are valid")
@@ -24,9 +25,20 @@
 		},
 	}
 	addSettingsFlag(command, &file)
+	command.Flags().BoolVar(&relay, "relay", false, "the settings are those of dragonflypass relay")
 	return command
 }
 
+// check reads the settings; the error names all faults.
+func check(file string, relay bool) error {
+	if relay {
+		_, err := loader.LoadRelay(file)
+		return err
+	}
+	_, err := loader.Load(file)
+	return err
+}
+
 func addSettingsFlag(command *cobra.Command, file *string) {
 	command.Flags().StringVar(file, "settings", "", "file with the settings in JSON")
 	_ = command.MarkFlagRequired("settings")
--- a/cmd/dragonflypass/main.go
+++ b/cmd/dragonflypass/main.go
@@ -7,6 +7,7 @@
 
 	"github.com/spf13/cobra"
 
+	"github.com/dragonflypass/dragonflypass/adapter/assembler"
 	"github.com/dragonflypass/dragonflypass/adapter/loader"
 )
 
@@ -24,7 +25,7 @@
 	root := &cobra.Command{
 		Use:           "dragonflypass",
 		Short:         "Serves language-model prompts between callers and backend servers",
-		Version:       version,
+		Version:       version + " " + assembler.Build(),
 		SilenceUsage:  true,
 		SilenceErrors: true,
 	}
@@ -37,7 +38,9 @@
 		Use:   "version",
 		Short: "Print the version",
 		Args:  cobra.NoArgs,
-		Run:   func(command *cobra.Command, _ []string) { fmt.Fprintln(command.OutOrStdout(), version) },
+		Run: func(command *cobra.Command, _ []string) {
+			fmt.Fprintln(command.OutOrStdout(), version, assembler.Build())
+		},
 	}
 }
 
--- a/core/assessor/assessor.go
+++ b/core/assessor/assessor.go
@@ -1,6 +1,8 @@
 package assessor
 
 import (
+	"cmp"
+	"slices"
 	"time"
 
 	"github.com/dragonflypass/dragonflypass"
@@ -179,3 +181,27 @@
 	r.out = now.Add(out)
 	return out
 }
+
+// Row is a server that failed lately, in a dump.
+type Row struct {
+	Server dragonflypass.ServerID
+	// Failures is the number of failures in a row.
+	Failures  int
+	Unreached bool
+	// Out is the instant up to which the server is left out, zero when it is not.
+	Out time.Time
+}
+
+// Rows returns the servers that failed lately, by their identifiers.
+func (a *Assessor) Rows() []Row {
+	a.mutex.Lock()
+	defer a.mutex.Unlock()
+	rows := make([]Row, 0, len(a.rows))
+	for id, r := range a.rows {
+		if r.fails > 0 || r.unreached {
+			rows = append(rows, Row{Server: id, Failures: r.fails, Unreached: r.unreached, Out: r.out})
+		}
+	}
+	slices.SortFunc(rows, func(x, y Row) int { return cmp.Compare(x.Server, y.Server) })
+	return rows
+}
--- /dev/null
+++ b/core/composer/state.go
@@ -0,0 +1,78 @@
+package composer
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"github.com/dragonflypass/dragonflypass"
+	"github.com/dragonflypass/dragonflypass/core/allocator"
+	"github.com/dragonflypass/dragonflypass/core/assessor"
+	"github.com/dragonflypass/dragonflypass/core/quarantiner"
+	"github.com/dragonflypass/dragonflypass/core/relayer"
+	"github.com/dragonflypass/dragonflypass/core/retrier"
+)
+
+// RelayState is what a node that relays exchanges believes, for a dump.
+type RelayState struct {
+	Self        dragonflypass.VM
+	Incarnation uint64
+	At          time.Time
+	Ready       bool
+	Leaving     bool
+	// Routing is the version of the routing in force, zero before there is one.
+	Routing  uint64
+	Topics   []TopicState
+	Members  []dragonflypass.Member
+	Owners   []OwnerState
+	Registry []dragonflypass.ServerEntry
+	// Failing are the servers that failed lately as this VM sees them.
+	Failing []assessor.Row
+	// Servers are the model servers as accounted here, and Waiting the number of requests for permits that wait here.
+	Servers  []allocator.Row
+	Waiting  int
+	Streams  []relayer.Row
+	Budgets  []retrier.Row
+	Suspects []quarantiner.Row
+}
+
+// TopicState is how far a topic of the store has been read.
+type TopicState struct {
+	Topic dragonflypass.Topic
+	End   dragonflypass.Offset
+	Known bool
+	// Age is the time since the copy was proved current.
+	Age time.Duration
+}
+
+// OwnerState is the VM that this one asks for permits of a service.
+type OwnerState struct {
+	Service dragonflypass.ServiceID
+	VM      dragonflypass.VMID
+}
+
+// State returns what the node believes.
+func (n *Relay) State() RelayState {
+	s := RelayState{
+		Self: n.Options.Self, Incarnation: n.Options.Incarnation, At: n.Ports.Timer.Now(), Ready: n.Ready(), Leaving: n.Detector.Leaving(),
+		Members: n.Detector.Others(), Registry: n.Registrar.All(), Failing: n.Assessor.Rows(), Streams: n.Relayer.Rows(),
+		Budgets: n.Budgets.Rows(), Suspects: n.Guard.Rows(),
+	}
+	slices.SortFunc(s.Registry, func(x, y dragonflypass.ServerEntry) int { return cmp.Compare(x.ID, y.ID) })
+	s.Servers, s.Waiting = n.Allocator.Rows()
+	for _, mark := range []dragonflypass.Mark{n.Routing.Mark(), n.Registry.Mark()} {
+		s.Topics = append(s.Topics, TopicState{Topic: mark.Topic, End: mark.End, Known: mark.Known, Age: mark.Age})
+	}
+	table := n.Router.Current()
+	if table == nil {
+		return s
+	}
+	s.Routing = table.Version
+	for service, policy := range table.Services {
+		if policy.Engine != nil {
+			s.Owners = append(s.Owners, OwnerState{Service: service, VM: n.Acquirer.Owner(service).ID})
+		}
+	}
+	slices.SortFunc(s.Owners, func(x, y OwnerState) int { return cmp.Compare(x.Service, y.Service) })
+	return s
+}
--- a/core/relayer/relayer.go
+++ b/core/relayer/relayer.go
@@ -1,6 +1,7 @@
 package relayer
 
 import (
+	"cmp"
 	"context"
 	"sync/atomic"
 	"time"
@@ -156,6 +157,9 @@
 	}
 	if refusal != nil {
 		r.Meter.Add(dragonflypass.CountRefused, 1)
+		r.Meter.End(dragonflypass.Ending{
+			Outcome: refusal.Reason, Rank: rankOf(found.Priority), Class: classOf(e.Prompt), First: -1, Whole: r.Timer.Now().Sub(e.Arrived),
+		})
 		r.Logger.Info("request refused", "id", e.ID, "reason", refusal.Reason, "detail", refusal.Detail, "routing_age", found.Age)
 		return refusal
 	}
@@ -186,20 +190,23 @@
 	return f
 }
 
+// answered is the outcome in the log of an exchange whose answer was passed on whole.
+const answered = dragonflypass.Reason("answered")
+
 // finish counts and logs the end of an exchange.
 func (r *Relayer) finish(j *job, err error) {
-	outcome, counter := "answered", dragonflypass.CountFinished
+	outcome, counter := dragonflypass.Reason(""), dragonflypass.CountFinished
 	refusal, refused := dragonflypass.AsRefusal(err)
 	switch {
 	case err == nil:
 	case refused && refusal.Ran == dragonflypass.RanNot:
-		outcome, counter = string(refusal.Reason), dragonflypass.CountRefused
+		outcome, counter = refusal.Reason, dragonflypass.CountRefused
 	case refused && refusal.Reason == dragonflypass.ReasonTimeout:
-		outcome, counter = string(refusal.Reason), dragonflypass.CountTimeout
+		outcome, counter = refusal.Reason, dragonflypass.CountTimeout
 	case refused && refusal.Reason == dragonflypass.ReasonCancelled:
-		outcome, counter = string(refusal.Reason), dragonflypass.CountCancelled
+		outcome, counter = refusal.Reason, dragonflypass.CountCancelled
 	default:
-		outcome, counter = "broken", dragonflypass.CountFailed
+		outcome, counter = dragonflypass.ReasonBroken, dragonflypass.CountFailed
 	}
 	r.Meter.Add(counter, 1)
 	now := r.Timer.Now()
@@ -207,8 +214,11 @@
 	if !j.first.IsZero() {
 		first = j.first.Sub(j.exchange.Arrived)
 	}
-	r.Logger.Info("request ended", "id", j.exchange.ID, "route", j.route.Name, "service", j.service, "outcome", outcome,
-		"status", j.status, "first", first, "pause", j.pause, "whole", now.Sub(j.exchange.Arrived), "left", j.deadline.Sub(now),
+	r.Meter.End(dragonflypass.Ending{
+		Service: j.service, Outcome: outcome, Rank: rankOf(j.found.Priority), Class: classOf(j.exchange.Prompt), First: first, Whole: now.Sub(j.exchange.Arrived),
+	})
+	r.Logger.Info("request ended", "id", j.exchange.ID, "route", j.route.Name, "service", j.service, "outcome", cmp.Or(outcome, answered),
+		"account", j.found.Account, "status", j.status, "first", first, "pause", j.pause, "whole", now.Sub(j.exchange.Arrived), "left", j.deadline.Sub(now),
 		"events", j.events, "prompt", promptTokens(j.exchange), "attempts", j.trail, "routing", j.found.Table.Version, "routing_age", j.found.Age, "error", err)
 }
 
--- a/core/relayer/stream.go
+++ b/core/relayer/stream.go
@@ -1,10 +1,12 @@
 package relayer
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"fmt"
 	"io"
+	"slices"
 	"strconv"
 	"sync/atomic"
 	"time"
@@ -32,7 +34,9 @@
 
 // openStream is a stream at a backend server.
 type openStream struct {
-	held  dragonflypass.HeldStream
+	held dragonflypass.HeldStream
+	// id is the caller's identifier.
+	id    string
 	owner dragonflypass.VMID
 	// began is the instant at which the stream began, and first the predicted instant of the first event.
 	began time.Time
@@ -301,7 +305,7 @@
 // hold notes an open stream.
 func (r *Relayer) hold(j *job, request dragonflypass.PermitRequest, permit dragonflypass.Permit, cancel context.CancelCauseFunc) *openStream {
 	open := &openStream{
-		cancel: cancel, owner: permit.Owner, began: r.Timer.Now(), first: r.Timer.Now().Add(permit.First),
+		cancel: cancel, id: j.exchange.ID, owner: permit.Owner, began: r.Timer.Now(), first: r.Timer.Now().Add(permit.First),
 		held: dragonflypass.HeldStream{
 			Stream: permit.Stream, Server: permit.Server, Tokens: request.Tokens(), Fingerprint: request.Fingerprint,
 			Account: request.Account, Deadline: request.Deadline, Service: request.Service, Pause: request.Pause, Prompt: request.PromptTokens,
@@ -403,3 +407,34 @@
 	}
 	return outcome + " " + took.Round(100*time.Microsecond).String()
 }
+
+// Row is an open stream in a dump.
+type Row struct {
+	Stream  dragonflypass.StreamID
+	ID      string
+	Service dragonflypass.ServiceID
+	Server  dragonflypass.ServerID
+	Helpers []dragonflypass.ServerID
+	Owner   dragonflypass.VMID
+	Began   time.Time
+	// First is the predicted instant of the first event, and Prefilled is set once that has come.
+	First     time.Time
+	Prefilled bool
+	Deadline  time.Time
+}
+
+// Rows returns the open streams, the oldest first.
+func (r *Relayer) Rows() []Row {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	rows := make([]Row, 0, len(r.open))
+	for _, open := range r.open {
+		h := open.held
+		rows = append(rows, Row{
+			Stream: h.Stream, ID: open.id, Service: h.Service, Server: h.Server, Helpers: h.Helpers, Owner: open.owner,
+			Began: open.began, First: open.first, Prefilled: open.prefilled.Load(), Deadline: h.Deadline,
+		})
+	}
+	slices.SortFunc(rows, func(x, y Row) int { return cmp.Or(x.Began.Compare(y.Began), cmp.Compare(x.ID, y.ID)) })
+	return rows
+}
--- a/core/retrier/budgets.go
+++ b/core/retrier/budgets.go
@@ -1,6 +1,9 @@
 package retrier
 
 import (
+	"cmp"
+	"slices"
+
 	"github.com/dragonflypass/dragonflypass"
 	"github.com/dragonflypass/dragonflypass/core/locker"
 )
@@ -55,3 +58,22 @@
 
 // Saved returns the repeats that the service's budget has.
 func (b *Budgets) Saved(id dragonflypass.ServiceID) float64 { return b.service(id).Saved() }
+
+// Row is the budget of a service in a dump.
+type Row struct {
+	Service dragonflypass.ServiceID
+	// Saved is the number of repeats that the budget has.
+	Saved float64
+}
+
+// Rows returns the budgets by their services.
+func (b *Budgets) Rows() []Row {
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+	rows := make([]Row, 0, len(b.services))
+	for id, r := range b.services {
+		rows = append(rows, Row{Service: id, Saved: r.Saved()})
+	}
+	slices.SortFunc(rows, func(x, y Row) int { return cmp.Compare(x.Service, y.Service) })
+	return rows
+}
--- a/internal/fake/meter.go
+++ b/internal/fake/meter.go
@@ -31,6 +31,9 @@
 func (m *Meter) Observe(dragonflypass.Measure, dragonflypass.Rank, dragonflypass.LengthClass, time.Duration) {
 }
 
+// End drops the ending.
+func (m *Meter) End(dragonflypass.Ending) {}
+
 // Count returns a counter's value.
 func (m *Meter) Count(counter dragonflypass.Counter) int64 {
 	m.mutex.Lock()
--- a/metrics.go
+++ b/metrics.go
@@ -1,5 +1,7 @@
 package dragonflypass
 
+import "time"
+
 // The counters of the system.
 const (
 	CountAdmitted          Counter = "requests_admitted"
@@ -53,6 +55,8 @@
 	CountRecordUnreadable  Counter = "records_unreadable"
 	CountServerDials       Counter = "server_connections_made"
 	CountForeignAnswers    Counter = "foreign_answers_dropped"
+	CountLinesDropped      Counter = "log_lines_dropped"
+	CountLinesGathered     Counter = "log_lines_gathered"
 )
 
 // The measured durations of the system.
@@ -62,3 +66,15 @@
 	MeasureQueue      Measure = "queue"
 	MeasureBetween    Measure = "between_tokens"
 )
+
+// Ending is how an exchange ended, for the metrics.
+type Ending struct {
+	Service ServiceID
+	// Outcome is empty when the answer was passed on whole.
+	Outcome Reason
+	Rank    Rank
+	Class   LengthClass
+	// First is the time to the first piece of the answer, negative when there was none, and Whole that to its end.
+	First time.Duration
+	Whole time.Duration
+}
--- a/ports.go
+++ b/ports.go
@@ -278,6 +278,8 @@
 	Add(counter Counter, delta int64)
 	// Observe records a duration under a rank and length class.
 	Observe(measure Measure, rank Rank, class LengthClass, span time.Duration)
+	// End records the end of an exchange.
+	End(ending Ending)
 }
 
 // Counter names a counter of events.
