--- a/core/relayer/relayer.go
+++ b/core/relayer/relayer.go
@@ -248,11 +248,12 @@
 	return refusal
 }
 
-// delivery describes one sending of the exchange.
+// delivery describes one sending of the exchange. What has failed once goes out on a new connection, for whatever
+// ended the first server may have ended others, and a used connection would not tell before the request is sent.
 func (j *job) delivery(server dragonflypass.ServerID) dragonflypass.Delivery {
 	return dragonflypass.Delivery{
 		Exchange: j.exchange, Server: server, Account: j.found.Account, Deadline: j.deadline, Urgency: -1,
-		LastEvent: j.last, Stream: j.route.Kind == dragonflypass.KindStream, Single: !j.route.Repeatable(),
+		LastEvent: j.last, Stream: j.route.Kind == dragonflypass.KindStream, Single: !j.route.Repeatable() || j.attempts > 0,
 	}
 }
 
