--- a/internal/layers/layers_test.go
+++ b/internal/layers/layers_test.go
@@ -1,8 +1,16 @@
 package layers
 
 import (
+	"bytes"
+	"go/ast"
+	"go/parser"
+	"go/token"
+	"io/fs"
+	"os"
 	"os/exec"
+	"path/filepath"
 	"slices"
+	"strconv"
 	"strings"
 	"testing"
 
@@ -30,3 +38,60 @@
 		}
 	}
 }
+
+// wireFolders may hold the names that the platform's messages use.
+var wireFolders = []string{"platform", "standin", "deploy", "journal"}
+
+// TestWireNamesStayInOneFolder looks for the names of the platform's messages in all other source files.
+func TestWireNamesStayInOneFolder(t *testing.T) {
+	c := qt.New(t)
+	names := wireNames(c)
+	c.Assert(len(names) > 20, qt.IsTrue)
+	root := filepath.Join("..", "..")
+	err := filepath.WalkDir(root, func(path string, entry fs.DirEntry, err error) error {
+		if err != nil {
+			return err
+		}
+		relative, err := filepath.Rel(root, path)
+		if err != nil {
+			return err
+		}
+		if entry.IsDir() && (slices.Contains(wireFolders, relative) || strings.HasPrefix(relative, ".git")) {
+			return filepath.SkipDir
+		}
+		if entry.IsDir() || !strings.HasSuffix(path, ".go") || strings.HasSuffix(path, "_test.go") {
+			return nil
+		}
+		source, err := os.ReadFile(path)
+		if err != nil {
+			return err
+		}
+		for _, name := range names {
+			c.Check(bytes.Contains(source, []byte(strconv.Quote(name))), qt.IsFalse, qt.Commentf("%s names %s", relative, name))
+		}
+		return nil
+	})
+	c.Assert(err, qt.IsNil)
+}
+
+// common are names that other protocols share with the platform's.
+var common = []string{"Retry-After", "Last-Event-Id", "Model", "/v1/report"}
+
+// wireNames returns the header fields and paths that the adapter declares.
+func wireNames(c *qt.C) (names []string) {
+	file, err := parser.ParseFile(token.NewFileSet(), filepath.Join("..", "..", "platform", "names.go"), nil, 0)
+	c.Assert(err, qt.IsNil)
+	ast.Inspect(file, func(n ast.Node) bool {
+		literal, ok := n.(*ast.BasicLit)
+		if !ok || literal.Kind != token.STRING {
+			return true
+		}
+		name, err := strconv.Unquote(literal.Value)
+		c.Assert(err, qt.IsNil)
+		if strings.ContainsAny(name, "-/.") && !strings.Contains(name, "github.com") && !slices.Contains(common, name) || name == "Tenant" || name == "Helpers" {
+			names = append(names, name)
+		}
+		return true
+	})
+	return names
+}
