Predict what the rest of a pass takes, and parts of less than a token

Cause, found by a property test that holds each prediction against the worked out passes: the end of a part was predicted without what is processed behind it in the same pass, up to 91 ms off in small cases; a part of less than a token was never seen to end. Now what is left of the pass's room is filled by what follows, and a part has at least one token. Predictions keep within two passes over 300,000 random cases.

--- a/core/predictor/engine.go
+++ b/core/predictor/engine.go
@@ -26,8 +26,8 @@
 // processed in the order of their arrival.
 func (r *Read) ahead() bool { return r.Parts > 1 }
 
-// length is the part's number of tokens.
-func (r *Read) length() float64 { return float64(r.Tokens) / float64(r.Parts) }
+// length is the part's number of tokens, at least one.
+func (r *Read) length() float64 { return max(1, float64(r.Tokens)/float64(r.Parts)) }
 
 // left is the number of tokens still to be processed.
 func (r *Read) left() float64 { return r.length() - r.done }
--- a/core/predictor/forecast.go
+++ b/core/predictor/forecast.go
@@ -34,6 +34,19 @@
 	q.span += span
 }
 
+// passes is the number of passes with room for so many tokens each in which the parts are processed.
+func (q queue) passes(room float64) int { return int(q.tokens/room) + 1 }
+
+// fill returns the tokens and the span of the passes in which the parts up to one are processed: the parts after it take
+// what room is left in the last pass, at whose end that one is done.
+func (q queue) fill(upTo queue, passes int, room float64) (tokens float64, span time.Duration) {
+	if q.tokens < 1 {
+		return upTo.tokens, upTo.span
+	}
+	taken := min(q.tokens, float64(passes)*room-upTo.tokens)
+	return upTo.tokens + taken, upTo.span + time.Duration(float64(q.span)*taken/q.tokens)
+}
+
 // Forecast is what a server would do with a further part.
 type Forecast struct {
 	// Done is the instant at which the part would have been processed.
@@ -101,16 +114,13 @@
 // among forecasts a part among generating streams: all that fits into a pass is processed within it.
 func (o *Outlook) among(read Read, own time.Duration, before, after queue) Forecast {
 	room := float64(o.law.Stride * o.law.Chunk)
-	tokens := before.tokens + read.length()
-	span := before.span + own
-	if tokens+after.tokens <= room {
-		tokens += after.tokens
-		span += after.span
-	}
-	passes := time.Duration(tokens/room) + 1
+	upTo := before
+	upTo.add(read.length(), own)
+	passes := upTo.passes(room)
+	tokens, span := after.fill(upTo, passes, room)
 	reading := time.Duration(o.pace * float64(span))
 	return Forecast{
-		Done:    o.start.Add(passes*o.pass + reading),
+		Done:    o.start.Add(time.Duration(passes)*o.pass + reading),
 		Longest: o.pass + time.Duration(float64(reading)*min(1, room/tokens)),
 	}
 }
@@ -124,27 +134,32 @@
 			context += e.writers[i].Context
 		}
 	}
-	var before queue
+	// upTo is what is processed up to the end of the part, and after what follows it.
+	var upTo, after queue
 	for i := range e.reads {
 		r := e.reads[i]
-		ends := r.Stream == stream && r.planned > 0 && r.length()-r.planned < 1
-		r.done = max(r.done, r.planned)
-		left := r.left()
-		before.add(left, r.span(e.Law, left))
-		if r.Stream != stream {
-			continue
-		}
-		if ends {
+		if r.Stream == stream && r.planned > 0 && r.length()-r.planned < 1 {
 			return e.ends, true
 		}
-		span := before.span
-		if generating > 0 {
-			passes := int(before.tokens/float64(e.Law.Stride*e.Law.Chunk)) + 1
-			span += time.Duration(passes) * e.Law.Pass(generating, context)
+		r.done = max(r.done, r.planned)
+		left := r.left()
+		if ok {
+			after.add(left, r.span(e.Law, left))
 		} else {
-			span += time.Duration(before.tokens / float64(e.Law.Chunk) * float64(e.Law.Step))
+			upTo.add(left, r.span(e.Law, left))
 		}
-		return e.ends.Add(time.Duration(e.Pace * float64(span))), true
+		ok = ok || r.Stream == stream
+	}
+	if !ok {
+		return time.Time{}, false
+	}
+	span := upTo.span
+	if room := float64(e.Law.Stride * e.Law.Chunk); generating > 0 {
+		passes := upTo.passes(room)
+		_, span = after.fill(upTo, passes, room)
+		span += time.Duration(passes) * e.Law.Pass(generating, context)
+	} else {
+		span += time.Duration(upTo.tokens / float64(e.Law.Chunk) * float64(e.Law.Step))
 	}
-	return time.Time{}, false
+	return e.ends.Add(time.Duration(e.Pace * float64(span))), true
 }
