Log why a request was not sent again, refused permits, and callers that leave in mid-answer

The line that ends a request now gives the reason for which there was no further attempt, from a closed list, such streams end as cancelled or timeout, and the owner writes a line for each refused permit.

--- a/core/allocator/allocator.go
+++ b/core/allocator/allocator.go
@@ -107,15 +107,22 @@
 	<-ctx.Done()
 }
 
-// told is an answer to a request, given outside all locks.
-type told struct {
+// answer is an answer to a request for a permit.
+type answer struct {
 	waiting *waiting
 	permit  dragonflypass.Permit
 	err     error
 }
 
-func tell(answers []told) {
+// tell gives the answers, outside all locks.
+func (a *Allocator) tell(answers []answer) {
 	for _, t := range answers {
+		if t.err != nil {
+			a.Meter.Add(dragonflypass.CountPermitRefused, 1)
+			r := t.waiting.request
+			a.Logger.Info("permit refused", "id", r.ID, "service", r.Service, "waited", a.Timer.Now().Sub(t.waiting.since),
+				"left", r.Deadline.Sub(a.Timer.Now()), "prompt", r.PromptTokens, "excluded", r.Exclude, "error", t.err)
+		}
 		t.waiting.told(t.permit, t.err)
 	}
 }
@@ -128,7 +135,8 @@
 	c := a.cell(request.Service)
 	if c == nil {
 		a.mutex.Unlock()
-		told(dragonflypass.Permit{}, dragonflypass.Refuse(dragonflypass.ReasonNoServer, soonRetry, "service %s has no known engine", request.Service))
+		refusal := dragonflypass.Refuse(dragonflypass.ReasonNoServer, soonRetry, "service %s has no known engine", request.Service)
+		a.tell([]answer{{waiting: w, err: refusal}})
 		return func() {}
 	}
 	if now.Sub(c.asked) > quietTime {
@@ -145,7 +153,7 @@
 	}
 	answers := a.dispatch(c, now)
 	a.mutex.Unlock()
-	tell(answers)
+	a.tell(answers)
 	return func() { a.withdraw(c, w) }
 }
 
@@ -179,7 +187,7 @@
 	p.server.engine.Write(p.writer(at), now)
 	answers := a.dispatch(p.cell, now)
 	a.mutex.Unlock()
-	tell(answers)
+	a.tell(answers)
 }
 
 // Release takes a permit back; a second release of the same stream changes nothing.
@@ -198,7 +206,7 @@
 	answers := a.dispatch(p.cell, now)
 	a.mutex.Unlock()
 	a.judge(release)
-	tell(answers)
+	a.tell(answers)
 }
 
 // judge notes what the end of a permit tells of its servers.
@@ -238,28 +246,28 @@
 // Leave sends the waiting requests on to the VM that takes over from this one.
 func (a *Allocator) Leave() {
 	a.mutex.Lock()
-	var answers []told
+	var answers []answer
 	for _, c := range a.cells {
 		for _, w := range c.waiting {
-			answers = append(answers, told{waiting: w, err: Moved()})
+			answers = append(answers, answer{waiting: w, err: Moved()})
 		}
 		c.waiting = nil
 	}
 	a.mutex.Unlock()
-	tell(answers)
+	a.tell(answers)
 }
 
 // Recheck refuses the waiting requests whose service has no server left.
 func (a *Allocator) Recheck() {
 	now := a.Timer.Now()
 	a.mutex.Lock()
-	var answers []told
+	var answers []answer
 	for _, c := range a.cells {
 		a.refresh(c)
 		answers = append(answers, a.dispatch(c, now)...)
 	}
 	a.mutex.Unlock()
-	tell(answers)
+	a.tell(answers)
 }
 
 // Sweep takes back permits that lapsed and grants what can no longer wait.
@@ -282,12 +290,12 @@
 		}
 	}
 	a.mutex.Unlock()
-	tell(answers)
+	a.tell(answers)
 }
 
 // giveUp takes out the waiting requests whose time has passed, or whose VM has not been heard for so long that it may
 // be gone without having withdrawn them; it is called with the mutex held.
-func (a *Allocator) giveUp(now time.Time) (answers []told) {
+func (a *Allocator) giveUp(now time.Time) (answers []answer) {
 	for _, c := range a.cells {
 		c.waiting = slices.DeleteFunc(c.waiting, func(w *waiting) bool {
 			heard := a.heard[w.request.Stream.VM]
@@ -296,9 +304,9 @@
 			}
 			switch {
 			case now.After(w.request.Deadline):
-				answers = append(answers, told{waiting: w, err: dragonflypass.Refuse(dragonflypass.ReasonTimeout, 0, "the request waited beyond its deadline")})
+				answers = append(answers, answer{waiting: w, err: dragonflypass.Refuse(dragonflypass.ReasonTimeout, 0, "the request waited beyond its deadline")})
 			case now.Sub(heard) > leaseTime:
-				answers = append(answers, told{waiting: w, err: dragonflypass.Refuse(dragonflypass.ReasonCancelled, 0, "the VM is not heard")})
+				answers = append(answers, answer{waiting: w, err: dragonflypass.Refuse(dragonflypass.ReasonCancelled, 0, "the VM is not heard")})
 			default:
 				return false
 			}
--- a/core/allocator/place.go
+++ b/core/allocator/place.go
@@ -45,6 +45,8 @@
 	// blockPart is the longest time for which one prompt may occupy its servers while others wait, as a part of the
 	// time to its target when it came: beyond that more worth is lost by those behind it.
 	blockPart = 0.6
+	// shortAnswer is the part of its expected length that an answer has at least, for deciding whether one can end in time.
+	shortAnswer = 0.5
 	// memoryMargin is the memory in tokens that is left free beside a reservation.
 	memoryMargin = 4000
 	// partsLimit is the largest number of servers that process one prompt.
@@ -92,7 +94,7 @@
 }
 
 // dispatch grants what can be granted now; it is called with the mutex held.
-func (a *Allocator) dispatch(c *cell, now time.Time) (answers []told) {
+func (a *Allocator) dispatch(c *cell, now time.Time) (answers []answer) {
 	if len(c.waiting) == 0 {
 		return nil
 	}
@@ -106,12 +108,12 @@
 	tries := longTries
 	rest := c.waiting[:0]
 	for _, w := range c.waiting {
-		answer, ok := a.try(c, w, &tries, now)
+		given, ok := a.try(c, w, &tries, now)
 		if !ok {
 			rest = append(rest, w)
 			continue
 		}
-		answers = append(answers, answer)
+		answers = append(answers, given)
 	}
 	clear(c.waiting[len(rest):])
 	c.waiting = rest
@@ -153,26 +155,26 @@
 
 // try grants the request its permit, or refuses it, or leaves it waiting; tries counts the long prompts that may still be
 // looked at.
-func (a *Allocator) try(c *cell, w *waiting, tries *int, now time.Time) (told, bool) {
+func (a *Allocator) try(c *cell, w *waiting, tries *int, now time.Time) (answer, bool) {
 	usable := a.usable(c, w)
 	if len(usable) == 0 {
-		return told{waiting: w, err: dragonflypass.Refuse(dragonflypass.ReasonNoServer, soonRetry, "no server of the service can run the request")}, true
+		return answer{waiting: w, err: dragonflypass.Refuse(dragonflypass.ReasonNoServer, soonRetry, "no server of the service can run the request")}, true
 	}
 	if now.Add(w.reading/time.Duration(min(len(usable), partsLimit)) + c.writing(w)).After(w.request.Deadline) {
-		return told{waiting: w, err: dragonflypass.Refuse(dragonflypass.ReasonTimeout, 0, "no server can end the request by its deadline")}, true
+		return answer{waiting: w, err: dragonflypass.Refuse(dragonflypass.ReasonTimeout, 0, "no server can end the request by its deadline")}, true
 	}
 	short := c.short(w)
 	if !short && (*tries == 0 || now.Before(c.calm)) {
-		return told{}, false
+		return answer{}, false
 	}
 	best, ok := c.best(w, usable, short, now)
 	if !ok || best.done.Add(c.writing(w)).After(w.request.Deadline) || !a.acceptable(c, w, best, short, now) {
 		if !short {
 			*tries--
 		}
-		return told{}, false
+		return answer{}, false
 	}
-	return told{waiting: w, permit: a.grant(c, w, best, now)}, true
+	return answer{waiting: w, permit: a.grant(c, w, best, now)}, true
 }
 
 // acceptable reports whether to grant the choice rather than to wait for a better one.
@@ -186,8 +188,14 @@
 	return best.harmed == 0 || (best.worth > 0 && c.pressed(w, now))
 }
 
-// writing is the least time in which the answer is generated once the prompt is processed.
-func (c *cell) writing(w *waiting) time.Duration { return time.Duration(c.answer(w)) * c.law.Step }
+// writing is the least time to be counted on for the generation of the answer once the prompt is processed.
+func (c *cell) writing(w *waiting) time.Duration {
+	tokens := c.answerTokens(w)
+	if hint := w.request.ExpectedTokens; hint > 0 {
+		tokens = min(tokens, hint)
+	}
+	return time.Duration(shortAnswer * float64(tokens) * float64(c.law.Step))
+}
 
 // blocks reports whether the prompt would occupy so many servers for longer than those behind it can wait. One that
 // was late when it came, as the rest of a broken answer is, never does.
@@ -365,10 +373,10 @@
 }
 
 // tokens is the memory that the request is expected to need.
-func (c *cell) tokens(w *waiting) int { return w.request.PromptTokens + c.answer(w) }
+func (c *cell) tokens(w *waiting) int { return w.request.PromptTokens + c.answerTokens(w) }
 
-// answer is the expected length of the request's answer in tokens.
-func (c *cell) answer(w *waiting) int {
+// answerTokens is the expected length of the request's answer in tokens.
+func (c *cell) answerTokens(w *waiting) int {
 	if w.request.OutputTokens > 0 {
 		return min(c.law.Answer, w.request.OutputTokens)
 	}
@@ -465,6 +473,6 @@
 		c.wake = nil
 		answers := a.dispatch(c, at)
 		a.mutex.Unlock()
-		tell(answers)
+		a.tell(answers)
 	})
 }
--- a/core/relayer/relayer.go
+++ b/core/relayer/relayer.go
@@ -142,8 +142,9 @@
 	last string
 	// events is the number of events passed on.
 	events int
-	// trail names the attempts for the log.
+	// trail names the attempts for the log, and stop tells why there was no further one, empty when none was wanted.
 	trail []string
+	stop  string
 }
 
 // Relay serves an exchange; the error is a Refusal when nothing was passed on, else ErrBroken.
@@ -177,7 +178,7 @@
 		serve = r.streamed
 	}
 	err := serve(ctx, j)
-	r.finish(j, err)
+	r.finish(ctx, j, err)
 	return err
 }
 
@@ -194,11 +195,16 @@
 const answered = dragonflypass.Reason("answered")
 
 // finish counts and logs the end of an exchange.
-func (r *Relayer) finish(j *job, err error) {
+func (r *Relayer) finish(ctx context.Context, j *job, err error) {
 	outcome, counter := dragonflypass.Reason(""), dragonflypass.CountFinished
 	refusal, refused := dragonflypass.AsRefusal(err)
 	switch {
 	case err == nil:
+	case !refused && ctx.Err() != nil && r.Timer.Now().Before(j.deadline):
+		// The answer broke off because its caller left.
+		outcome, counter = dragonflypass.ReasonCancelled, dragonflypass.CountCancelled
+	case !refused && ctx.Err() != nil:
+		outcome, counter = dragonflypass.ReasonTimeout, dragonflypass.CountTimeout
 	case refused && refusal.Ran == dragonflypass.RanNot:
 		outcome, counter = refusal.Reason, dragonflypass.CountRefused
 	case refused && refusal.Reason == dragonflypass.ReasonTimeout:
@@ -219,7 +225,7 @@
 	})
 	r.Logger.Info("request ended", "id", j.exchange.ID, "route", j.route.Name, "service", j.service, "outcome", cmp.Or(outcome, answered),
 		"account", j.found.Account, "status", j.status, "first", first, "pause", j.pause, "whole", now.Sub(j.exchange.Arrived), "left", j.deadline.Sub(now),
-		"events", j.events, "prompt", promptTokens(j.exchange), "attempts", j.trail, "routing", j.found.Table.Version, "routing_age", j.found.Age, "error", err)
+		"events", j.events, "prompt", promptTokens(j.exchange), "attempts", j.trail, "stop", j.stop, "routing", j.found.Table.Version, "routing_age", j.found.Age, "error", err)
 }
 
 // promptTokens is the length of the exchange's prompt in tokens, zero where it has none.
@@ -257,16 +263,33 @@
 	}
 }
 
+// The reasons for which a request is not sent to another server.
+const (
+	stopEnded      = "ended"
+	stopAttempts   = "attempts"
+	stopRepeatable = "not-repeatable"
+	stopDeclined   = "declined"
+	stopBudget     = "budget"
+)
+
 // mayRetry reports whether the request may be sent to one more server.
 func (r *Relayer) mayRetry(ctx context.Context, j *job) bool {
-	if ctx.Err() != nil || j.attempts >= j.route.Attempts || (j.ran && !j.route.Repeatable()) {
-		return false
-	}
-	// A route of a single attempt is sent once, whatever its server states.
-	if j.declined > declineLimit || (j.declined > 0 && j.route.Attempts == 1) {
-		return false
+	switch {
+	case ctx.Err() != nil:
+		j.stop = stopEnded
+	case j.attempts >= j.route.Attempts:
+		j.stop = stopAttempts
+	case j.ran && !j.route.Repeatable():
+		j.stop = stopRepeatable
+	case j.declined > declineLimit || (j.declined > 0 && j.route.Attempts == 1):
+		// A route of a single attempt is sent once, whatever its server states.
+		j.stop = stopDeclined
+	case !r.spend(j.service):
+		j.stop = stopBudget
+	default:
+		return true
 	}
-	return r.spend(j.service)
+	return false
 }
 
 // spend takes one repeat from the budget of the service.
