Have each zone of a large fleet read the store for itself, and a VM alone less often

Now a fleet of more than 16 has a reader in each zone, whose reads wait half a second, and the others read by themselves after 1.9 s, the registry after 2.5 s.

--- a/core/composer/relay.go
+++ b/core/composer/relay.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/netip"
+	"slices"
 	"sync"
 	"time"
 
@@ -79,13 +80,21 @@
 }
 
 const (
-	// routingPeriod and routingWait pace the reads of the routing: each waits at the store for news.
-	routingPeriod = 100 * time.Millisecond
-	routingWait   = time.Second
-	// registryPeriod paces the reads of the registry, whose records come all the time.
+	// routingPeriod paces the reads of the routing, registryPeriod those of the registry, whose records come all the time.
+	routingPeriod  = 100 * time.Millisecond
 	registryPeriod = 500 * time.Millisecond
-	// patience is the age of the newest proof from which a VM reads the store by itself.
-	patience = 1500 * time.Millisecond
+	// routingWait is how long the store holds a read of the routing back, and routingPatience the age of the newest
+	// proof from which a VM reads by itself.
+	routingWait     = time.Second
+	routingPatience = 1500 * time.Millisecond
+	// wideWait and widePatience are the same in a large fleet, where a proof is on its way for as long as the
+	// heartbeats of a zone are apart, a second at 24 VMs; both together stay below the age at which a VM is not ready.
+	wideWait     = 500 * time.Millisecond
+	widePatience = 1900 * time.Millisecond
+	// registryPatience is that age for the registry, less than the time after which the store counts as having been away.
+	registryPatience = 2500 * time.Millisecond
+	// largeFleet is the number of VMs from which each zone has a reader of its own.
+	largeFleet = 16
 	// tellTimeout bounds one message about a crash.
 	tellTimeout = time.Second
 	// crashLimit is the number of servers that a request may crash before it is refused.
@@ -134,9 +143,16 @@
 func (n *Relay) composeTopics() {
 	o, p := n.Options, n.Ports
 	n.Routing = n.follow(dragonflypass.TopicRouting, dragonflypass.JobRouting, sameTable)
-	n.Routing.Period, n.Routing.Wait = routingPeriod, routingWait
+	n.Routing.Period = routingPeriod
+	n.Routing.Pace = func() (wait, patience time.Duration) {
+		if len(n.Detector.Others()) >= largeFleet {
+			return wideWait, widePatience
+		}
+		return routingWait, routingPatience
+	}
 	n.Registry = n.follow(dragonflypass.TopicServers, dragonflypass.JobRegistry, sameServer)
 	n.Registry.Period = registryPeriod
+	n.Registry.Pace = func() (wait, patience time.Duration) { return 0, registryPatience }
 
 	r := &router.Router{Timer: p.Timer, Meter: p.Meter, Logger: p.Logger, Proved: n.Routing.Proved}
 	r.Revoke, r.Apply = o.Revoke, o.Apply
@@ -260,11 +276,21 @@
 func (n *Relay) follow(topic dragonflypass.Topic, kind dragonflypass.JobKind, same func(a, b dragonflypass.Update) bool) *follower.Follower {
 	f := follower.New(topic, kind)
 	f.Timer, f.Store, f.Meter, f.Logger = n.Ports.Timer, n.Ports.Store, n.Ports.Meter, n.Ports.Logger
-	f.Patience, f.Same = patience, same
-	f.Leads = func() bool { return detector.Leads(string(topic), n.Options.Self.ID, n.Detector.Live(), topicReaders) }
+	f.Same = same
+	f.Leads = func() bool { return n.reads(topic) }
 	return f
 }
 
+// reads reports whether this VM reads the topic for others: for all in a small fleet, else for its zone.
+func (n *Relay) reads(topic dragonflypass.Topic) bool {
+	self, live := n.Options.Self, n.Detector.Live()
+	if len(live) <= largeFleet {
+		return detector.Leads(string(topic), self.ID, live, topicReaders)
+	}
+	zone := slices.DeleteFunc(live, func(vm dragonflypass.VM) bool { return vm.Zone != self.Zone })
+	return detector.Leads(string(topic), self.ID, zone, 1)
+}
+
 func sameTable(older, newer dragonflypass.Update) bool {
 	return older.Table != nil && newer.Table != nil && older.Table.Version == newer.Table.Version
 }
--- a/core/follower/follower.go
+++ b/core/follower/follower.go
@@ -29,10 +29,9 @@
 	Logger dragonflypass.Logger
 	// Period is the shortest time between the beginnings of two reads.
 	Period time.Duration
-	// Wait is how long the store holds a read back while nothing has changed.
-	Wait time.Duration
-	// Patience is the age of the newest proof from which a VM that leaves the reading to others reads by itself.
-	Patience time.Duration
+	// Pace returns how long the store holds a read back while nothing has changed, and the age of the newest proof
+	// from which a VM that leaves the reading to others reads by itself.
+	Pace func() (wait, patience time.Duration)
 	// Leads reports whether this VM reads the store for the others.
 	Leads func() bool
 	// Same reports whether two records of a key say the same, so that the newer one is no news.
@@ -97,12 +96,13 @@
 // due returns the offset to read from, how long the store is to hold the read back, and whether this VM has to read. One
 // that reads because no proof came from the others needs one at once: a proof is as old as the beginning of its read.
 func (f *Follower) due(now time.Duration) (from dragonflypass.Offset, wait time.Duration, due bool) {
+	longest, patience := f.Pace()
 	if f.Leads() {
-		wait, due = f.Wait, true
+		wait, due = longest, true
 	}
 	f.mutex.Lock()
 	defer f.mutex.Unlock()
-	return f.end, wait, due || !f.known || now-f.proved > f.Patience
+	return f.end, wait, due || !f.known || now-f.proved > patience
 }
 
 // read returns what has changed, or the whole topic where the changes are no longer kept.
