--- a/Makefile
+++ b/Makefile
@@ -1,7 +1,7 @@
 # The obvious targets; each needs Go alone.
 MODULES := . ./cmd/dragonflypass ./cmd/dragonflyctl ./cmd/standin ./cmd/dragonflybench
 
-.PHONY: build test lint demo run fmt bench policy slopes faults
+.PHONY: build test lint demo run fmt bench policy slopes faults fuzz simulate
 
 build:
 	go build -o bin/ ./cmd/dragonflypass ./cmd/dragonflyctl ./cmd/standin ./cmd/dragonflybench
@@ -35,3 +35,9 @@
 
 faults:
 	examples/site/faults.sh run/faults
+
+fuzz:
+	for target in FuzzPage FuzzTable FuzzEvents; do go test ./platform -run none -fuzz "^$$target\$$" -fuzztime 1m || exit 1; done
+
+simulate: build
+	bin/dragonflybench simulate
--- a/adapter/loader/relay.go
+++ b/adapter/loader/relay.go
@@ -58,16 +58,14 @@
 type RelayTimes struct {
 	Revoke    encoder.Span `json:"revoke"`
 	Apply     encoder.Span `json:"apply"`
-	Drain     encoder.Span `json:"drain"`
 	Grace     encoder.Span `json:"grace"`
 	Heartbeat encoder.Span `json:"heartbeat"`
 }
 
 // RelayBudget bounds the repeats of all VMs together.
 type RelayBudget struct {
-	Ratio  float64      `json:"ratio"`
-	Window encoder.Span `json:"window"`
-	Slack  float64      `json:"slack"`
+	Ratio float64 `json:"ratio"`
+	Slack float64 `json:"slack"`
 }
 
 // VM returns the entry VM that the settings describe.
--- a/cmd/dragonflypass/relay_test.go
+++ b/cmd/dragonflypass/relay_test.go
@@ -140,8 +140,8 @@
 	settings, err := json.Marshal(map[string]any{
 		"name": name, "zone": "a", "seeds": seeds, "store": map[string]string{"address": s.server.Listener.Addr().String()},
 		"listen": map[string]string{"callers": p.callers, "probes": p.probes, "peers": p.peers, "metrics": p.metrics},
-		"times":  map[string]string{"revoke": "5s", "apply": "2s", "drain": "2s", "grace": "8s"},
-		"budget": map[string]any{"ratio": 0.2, "window": "10s", "slack": 100},
+		"times":  map[string]string{"revoke": "5s", "apply": "2s", "grace": "8s"},
+		"budget": map[string]any{"ratio": 0.2, "slack": 100},
 	})
 	s.c.Assert(err, qt.IsNil)
 	p.settings = filepath.Join(s.c.TempDir(), name+".json")
