Let a stream wait at its last server instead of ending it as stalled

The first server of a stream was cut off after 2.8 s; the second took the request 1.8 s later still without beginning it, and the stream was ended as stalled, though no attempt was left: the caller got half an answer where a late one was possible.

A stream after which no other server may be tried, or whose budget of repeats is spent, now waits to its deadline unless its server cannot be reached. The test stands a server still for four seconds; it failed before.

--- a/core/composer/relay_test.go
+++ b/core/composer/relay_test.go
@@ -480,3 +480,19 @@
 		}
 	}
 }
+
+// TestRelayWaitsOnItsLastAttempt has a server stand still for longer than a stream's patience where no other may be tried.
+func TestRelayWaitsOnItsLastAttempt(t *testing.T) {
+	withRelays(t, 2, 1, 1, func(c *qt.C, s *fake.RelaySite) {
+		for i, wait := range []time.Duration{10 * time.Millisecond, 300 * time.Millisecond} {
+			time.AfterFunc(wait, func() { s.Models[0].SetFault(fake.BackendSilent) })
+			time.AfterFunc(wait+4*time.Second, func() { s.Models[0].SetFault(fake.BackendSound) })
+			id := fmt.Sprintf("single-%d", i)
+			got := s.Send(0, fake.NewExchange(id, "/single/x", 500))
+			c.Check(got.Whole(20), qt.IsTrue, qt.Commentf("%v %v", got.Events, got.Err))
+			c.Check(ranAt(s.Models, id), qt.Equals, 1)
+			time.Sleep(5 * time.Second)
+		}
+		checkAllReturned(c, s)
+	})
+}
--- a/core/relayer/open.go
+++ b/core/relayer/open.go
@@ -35,6 +35,8 @@
 	// began is the instant at which the stream began, and first the predicted instant of the first event.
 	began time.Time
 	first time.Time
+	// last is set when no other server may be tried after this one.
+	last bool
 	// prefilled is set once the first event has come.
 	prefilled atomic.Bool
 	cancel    context.CancelCauseFunc
@@ -50,7 +52,7 @@
 // hold notes an open stream.
 func (r *Relayer) hold(j *job, request dragonflypass.PermitRequest, permit dragonflypass.Permit, cancel context.CancelCauseFunc) *openStream {
 	open := &openStream{
-		cancel: cancel, id: j.exchange.ID, owner: permit.Owner, began: r.Timer.Now(), first: r.Timer.Now().Add(permit.First),
+		cancel: cancel, id: j.exchange.ID, last: j.attempts+1 >= j.route.Attempts || !j.route.Repeatable(), owner: permit.Owner, began: r.Timer.Now(), first: r.Timer.Now().Add(permit.First),
 		held: dragonflypass.HeldStream{
 			Stream: permit.Stream, Server: permit.Server, Tokens: request.Tokens(), Fingerprint: request.Fingerprint,
 			Account: request.Account, Deadline: request.Deadline, Service: request.Service, Pause: request.Pause, Prompt: request.PromptTokens,
@@ -121,7 +123,8 @@
 	r.mutex.Unlock()
 	for _, open := range silent {
 		server := open.held.Server
-		if now.UnixNano() > open.stalls.Load() || r.Assessor.Unreachable(server) {
+		stalled := now.UnixNano() > open.stalls.Load() && r.replaceable(open)
+		if stalled || r.Assessor.Unreachable(server) {
 			open.cancel(errStalled)
 			continue
 		}
@@ -129,6 +132,12 @@
 	}
 }
 
+// replaceable reports whether another server may be tried; else a stream on which nothing comes waits to its deadline, for
+// its server may only be slow.
+func (r *Relayer) replaceable(open *openStream) bool {
+	return !open.last && r.Budgets.Saved(open.held.Service) >= 1
+}
+
 // Row is an open stream in a dump.
 type Row struct {
 	Stream  dragonflypass.StreamID
