--- a/cmd/dragonflypass/relay.go
+++ b/cmd/dragonflypass/relay.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"os"
-	"os/signal"
 	"runtime/debug"
 	"syscall"
 	"time"
@@ -52,38 +51,22 @@
 	if err := app.Start(context.Background()); err != nil {
 		return err
 	}
-	waitForSignal(node, file)
+	waitForStop(map[os.Signal]func(){
+		syscall.SIGHUP: func() { reload(node, file) },
+		// Standard error takes the state or is gone.
+		syscall.SIGUSR1: func() { _ = node.Pages.WriteState(os.Stderr) },
+	})
 	ctx, cancel := context.WithTimeout(context.Background(), app.StopTimeout())
 	defer cancel()
 	return app.Stop(ctx)
 }
 
-// waitForSignal returns at the first signal to stop and has the second one end the process.
-func waitForSignal(node *assembler.RelayNode, file string) {
-	reload := make(chan os.Signal, 1)
-	signal.Notify(reload, syscall.SIGHUP)
-	dump := make(chan os.Signal, 1)
-	signal.Notify(dump, syscall.SIGUSR1)
-	stop := make(chan os.Signal, 2)
-	signal.Notify(stop, syscall.SIGTERM, syscall.SIGINT)
-	for {
-		select {
-		case <-reload:
-			settings, err := loader.LoadRelay(file)
-			if err != nil {
-				node.Rejected(err)
-				continue
-			}
-			node.Reload(settings)
-		case <-dump:
-			// Standard error takes it or is gone.
-			_ = node.Pages.WriteState(os.Stderr)
-		case <-stop:
-			go func() {
-				<-stop
-				os.Exit(1)
-			}()
-			return
-		}
+// reload reads the settings anew; those that are not valid are not used.
+func reload(node *assembler.RelayNode, file string) {
+	settings, err := loader.LoadRelay(file)
+	if err != nil {
+		node.Rejected(err)
+		return
 	}
+	node.Reload(settings)
 }
--- a/cmd/dragonflypass/serve.go
+++ b/cmd/dragonflypass/serve.go
@@ -5,7 +5,6 @@
 	"encoding/json"
 	"fmt"
 	"os"
-	"os/signal"
 	"syscall"
 	"time"
 
@@ -51,32 +50,12 @@
 	}
 	fmt.Printf("serving callers on %s, peers on %s, operators on %s\n",
 		node.Listeners.CallerAddress(), node.Listeners.PeerAddress(), node.Listeners.AdminAddress())
-	waitForStop(node)
+	waitForStop(map[os.Signal]func(){syscall.SIGUSR1: func() { writeState(node) }})
 	ctx, cancel := context.WithTimeout(context.Background(), app.StopTimeout())
 	defer cancel()
 	return app.Stop(ctx)
 }
 
-// waitForStop returns at the first signal to stop and has the second one end the process.
-func waitForStop(node *assembler.Node) {
-	dump := make(chan os.Signal, 1)
-	signal.Notify(dump, syscall.SIGUSR1)
-	stop := make(chan os.Signal, 2)
-	signal.Notify(stop, syscall.SIGTERM, syscall.SIGINT)
-	for {
-		select {
-		case <-dump:
-			writeState(node)
-		case <-stop:
-			go func() {
-				<-stop
-				os.Exit(1)
-			}()
-			return
-		}
-	}
-}
-
 func writeState(node *assembler.Node) {
 	encoder := json.NewEncoder(os.Stderr)
 	encoder.SetIndent("", "  ")
--- a/internal/fake/relaysite.go
+++ b/internal/fake/relaysite.go
@@ -146,6 +146,7 @@
 	for i := range s.Nodes {
 		s.StartNode(i)
 	}
+	// Virtual time: the VMs have heard of each other and read the store by then.
 	const settles = 5 * time.Second
 	time.Sleep(settles)
 }
