Record how requests end without a complete answer

Logs and counters could not tell the hypotheses apart: net/http closes the connection of a handler that panics and its log is discarded, a request that is refused while it is read left no line, a refusal that cannot be written left none either, and an attempt that this VM ended had the outcome "stalled" whether the stream had stalled or its server could not be reached.

Now counted: handler_panics (with a line and the stack), requests_invalid (with a line), refusals_unwritten, and responses_cut: responses that this VM ended in the middle although their servers had not failed. No behaviour changes.

--- a/adapter/assembler/relay.go
+++ b/adapter/assembler/relay.go
@@ -158,7 +158,7 @@
 // newRelayNode returns the node and registers its start and stop with the lifecycle of the process.
 func newRelayNode(lifecycle fx.Lifecycle, settings *loader.RelaySettings, core *composer.Relay, metrics *counter.Counter, adapters relayAdapters) *RelayNode {
 	n := &RelayNode{Settings: settings, Core: core, Metrics: metrics, adapters: adapters}
-	n.callers = &platform.Callers{Relay: core.Relayer, Limits: n.limits, CloseConnections: func() bool { return !core.Ready() }, Meter: metrics, MaxBodyBytes: settings.Limits.MaxBodyBytes}
+	n.callers = &platform.Callers{Relay: core.Relayer, Limits: n.limits, CloseConnections: func() bool { return !core.Ready() }, Meter: metrics, Logger: adapters.Logger, MaxBodyBytes: settings.Limits.MaxBodyBytes}
 	adapters.Client.ConnectionLost = core.Detector.ProbeAddress
 	n.peers = messenger.NewServer()
 	n.peers.Pool, n.peers.Meter, n.peers.Handler = adapters.Pool, metrics, core.Handler()
--- a/core/relayer/open.go
+++ b/core/relayer/open.go
@@ -156,11 +156,14 @@
 	r.mutex.Unlock()
 	for _, open := range stalling {
 		server := open.stream.Server
-		stalled := now.UnixNano() > open.stallsAt.Load() && r.replaceable(open)
-		if stalled || r.Assessor.Unreachable(server) {
+		if now.UnixNano() > open.stallsAt.Load() && r.replaceable(open) {
 			open.cancel(errStalled)
 			continue
 		}
+		if r.Assessor.Unreachable(server) {
+			open.cancel(errServerUnreachable)
+			continue
+		}
 		open.recordProgress(now)
 		r.Prober.ProbeServer(server)
 	}
--- a/core/relayer/relayer.go
+++ b/core/relayer/relayer.go
@@ -23,8 +23,10 @@
 var (
 	// errCallerDisconnected means that the response cannot be written to the caller.
 	errCallerDisconnected = eris.New("relayer: the caller has disconnected")
-	// errStalled cancels a stream that has stalled or whose server is unreachable.
+	// errStalled cancels a stream that has stalled.
 	errStalled = eris.New("relayer: the stream has stalled")
+	// errServerUnreachable cancels a stream whose server is unreachable.
+	errServerUnreachable = eris.New("relayer: the server of the stream is unreachable")
 )
 
 const (
@@ -148,6 +150,8 @@
 	lastEventID string
 	// eventCount is the number of events forwarded.
 	eventCount int
+	// abandoned is set if this VM ended the last attempt although its server had not failed.
+	abandoned bool
 	// attemptHistory describes the attempts for the log, and stopReason is the reason why no further attempt was made,
 	// empty if none was needed.
 	attemptHistory []string
@@ -246,6 +250,9 @@
 		outcome, counter = dragonflypass.ReasonBroken, dragonflypass.CountFailed
 	}
 	r.Meter.Add(counter, 1)
+	if j.headWritten && outcome == dragonflypass.ReasonBroken && j.abandoned {
+		r.Meter.Add(dragonflypass.CountResponseCut, 1)
+	}
 	now := r.Timer.Now()
 	timeToFirstChunk := time.Duration(-1)
 	if !j.firstChunkAt.IsZero() {
--- a/core/relayer/stream.go
+++ b/core/relayer/stream.go
@@ -70,8 +70,10 @@
 	start := r.Timer.Now()
 	err := r.forward(ctx, j, permit, open)
 	r.unregister(permit.Stream)
-	if errors.Is(context.Cause(ctx), errStalled) {
-		err = errStalled
+	cause := context.Cause(ctx)
+	j.abandoned = errors.Is(cause, errStalled) || errors.Is(cause, errServerUnreachable)
+	if j.abandoned {
+		err = cause
 	}
 	j.attemptHistory = append(j.attemptHistory, fmt.Sprintf("%s %s owner %s helpers %d predicted %s", permit.Server,
 		describeAttempt(nil, err, r.Timer.Now().Sub(start)), permit.Owner, len(permit.Helpers), permit.TimeToFirstToken.Round(time.Millisecond)))
@@ -103,7 +105,7 @@
 		return dragonflypass.OutcomeDone
 	case errors.Is(err, dragonflypass.ErrRefused):
 		return dragonflypass.OutcomeRefused
-	case ctx.Err() != nil && !errors.Is(err, errStalled):
+	case ctx.Err() != nil && !errors.Is(err, errStalled) && !errors.Is(err, errServerUnreachable):
 		return dragonflypass.OutcomeCancelled
 	case errors.Is(err, dragonflypass.ErrUnavailable):
 		return dragonflypass.OutcomeUnsent
@@ -281,6 +283,8 @@
 		outcome = "unanswered"
 	case errors.Is(err, errStalled):
 		outcome = "stalled"
+	case errors.Is(err, errServerUnreachable):
+		outcome = "server-unreachable"
 	case errors.Is(err, errCallerDisconnected):
 		outcome = "caller-gone"
 	default:
--- a/metrics.go
+++ b/metrics.go
@@ -56,8 +56,16 @@
 	CountRecordUnreadable  Counter = "records_unreadable"
 	CountServerDials       Counter = "server_connections_made"
 	CountForeignResponses  Counter = "foreign_answers_dropped"
-	CountLinesDropped      Counter = "log_lines_dropped"
-	CountLinesAggregated   Counter = "log_lines_gathered"
+	// CountInvalid counts the requests that were refused while they were read, and CountRefusalUnwritten the refusals that
+	// could not be written to their callers.
+	CountInvalid          Counter = "requests_invalid"
+	CountRefusalUnwritten Counter = "refusals_unwritten"
+	// CountResponseCut counts the responses that this VM ended in the middle although their servers had not failed.
+	CountResponseCut Counter = "responses_cut"
+	// CountHandlerPanics counts the panics of request handlers; their callers receive no response.
+	CountHandlerPanics   Counter = "handler_panics"
+	CountLinesDropped    Counter = "log_lines_dropped"
+	CountLinesAggregated Counter = "log_lines_gathered"
 )
 
 // The measured durations.
