--- /dev/null
+++ b/core/composer/stall_test.go
@@ -0,0 +1,82 @@
+package composer_test
+
+import (
+	"fmt"
+	"sync"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/dragonflypass/dragonflypass"
+	"github.com/dragonflypass/dragonflypass/internal/fake"
+)
+
+// stallDuration is how long the servers make no progress: longer than the time after which a stream counts as stalled.
+const stallDuration = 3 * time.Second
+
+// sendWhileStalled sends the streams, stops the servers in the middle of them and lets the servers go on after
+// stallDuration.
+func sendWhileStalled(s *fake.RelaySite, servers []*fake.Backend, fault fake.BackendFault, streams int) []*fake.ResponseRecorder {
+	setFault := func(fault fake.BackendFault) {
+		for _, server := range servers {
+			server.SetFault(fault)
+		}
+	}
+	time.AfterFunc(400*time.Millisecond, func() { setFault(fault) })
+	time.AfterFunc(400*time.Millisecond+stallDuration, func() { setFault(fake.BackendHealthy) })
+	var wg sync.WaitGroup
+	responses := make([]*fake.ResponseRecorder, streams)
+	for i := range responses {
+		wg.Go(func() {
+			responses[i] = s.Send(0, fake.NewExchange(fmt.Sprintf("stream-%d", i), "/stream/x", 800))
+		})
+	}
+	wg.Wait()
+	return responses
+}
+
+// checkComplete checks that each response contains every event once.
+func checkComplete(c *qt.C, s *fake.RelaySite, responses []*fake.ResponseRecorder) {
+	c.Helper()
+	for i, g := range responses {
+		c.Check(g.Complete(20), qt.IsTrue, qt.Commentf("%d %v %v", i, g.EventIDs, g.Err))
+	}
+	for _, n := range s.Nodes {
+		c.Check(n.Meter.Count(dragonflypass.CountResponseCut), qt.Equals, int64(0))
+	}
+	checkNothingReserved(c, s)
+}
+
+// TestStalledStreamsAreNotCutWithoutRetryBudget stalls more streams than the retry budget allows to move.
+func TestStalledStreamsAreNotCutWithoutRetryBudget(t *testing.T) {
+	withRelaySite(t, 1, 1, 4, func(c *qt.C, s *fake.RelaySite) {
+		checkComplete(c, s, sendWhileStalled(s, s.ModelServers[:2], fake.BackendSilent, 40))
+	})
+}
+
+// TestStalledStreamIsNotCutWithoutOtherServer stalls a stream while no other server can run it.
+func TestStalledStreamIsNotCutWithoutOtherServer(t *testing.T) {
+	for _, other := range []fake.BackendFault{fake.BackendDown, fake.BackendRefusing, fake.BackendFailing, fake.BackendUnsigned} {
+		t.Run(fmt.Sprint(other), func(t *testing.T) {
+			withRelaySite(t, 2, 1, 2, func(c *qt.C, s *fake.RelaySite) {
+				s.ModelServers[1].SetFault(other)
+				time.Sleep(time.Second)
+				checkComplete(c, s, sendWhileStalled(s, s.ModelServers[:1], fake.BackendSilent, 3))
+			})
+		})
+	}
+}
+
+// TestStreamIsNotCutByFailedProbe makes the servers accept no connections for a moment, between two events of a stream.
+func TestStreamIsNotCutByFailedProbe(t *testing.T) {
+	withRelaySite(t, 2, 1, 2, func(c *qt.C, s *fake.RelaySite) {
+		for _, server := range s.ModelServers {
+			server.EventInterval, server.Events = 1800*time.Millisecond, 4
+			time.AfterFunc(time.Second, func() { server.SetFault(fake.BackendFull) })
+			time.AfterFunc(1800*time.Millisecond, func() { server.SetFault(fake.BackendHealthy) })
+		}
+		got := s.Send(0, fake.NewExchange("stream", "/stream/x", 800))
+		c.Check(got.Complete(4), qt.IsTrue, qt.Commentf("%v %v", got.EventIDs, got.Err))
+	})
+}
--- a/internal/fake/backend.go
+++ b/internal/fake/backend.go
@@ -35,6 +35,8 @@
 	BackendUnsigned
 	// BackendBreakingStreams breaks each stream after BreakAfter events.
 	BackendBreakingStreams
+	// BackendFull accepts no connections, and the running requests go on.
+	BackendFull
 )
 
 // BreakAfter is the number of events after which a server with BackendBreakingStreams breaks a stream.
@@ -191,7 +193,7 @@
 	if server == nil {
 		return nil, dragonflypass.ErrUnavailable
 	}
-	if fault, _ := server.state(); fault == BackendDown || fault == BackendDark {
+	if fault, _ := server.state(); fault == BackendDown || fault == BackendDark || fault == BackendFull {
 		return nil, dragonflypass.ErrUnavailable
 	}
 	return server, nil
