Keep errors and heads of other responses out of event streams

Operators saw callers that found an error's text, at times its whole head, in the middle of a stream, or a stream that had broken off and yet ended as if it were complete.

So when a response ended with its connection, or was shorter than its length, the head and body of whatever the server sent next were forwarded as events, and the end of the connection then counted as the end of the stream. A server that was asked to resume a stream could answer 200 with a text, with an event without an identifier, or with nothing before the connection's end.

A response whose content type is another is forwarded as a whole, and never within a stream. The relayer accepts the first event of a resumed response only if it follows the last one of the earlier response, and after a number only the next number. Unknown fields and events without an identifier are still accepted within the response of one server.

--- a/cmd/dragonflypass/relay_test.go
+++ b/cmd/dragonflypass/relay_test.go
@@ -138,7 +138,8 @@
 		"routes": [
 			{"name": "read", "hostname": "desk.example", "path_prefix": "/read/", "kind": "idempotent", "service": "plain", "timeout_ms": 5000, "goal_ms": 300, "max_attempts": 3},
 			{"name": "write", "hostname": "desk.example", "path_prefix": "/write/", "kind": "non_idempotent", "service": "plain", "timeout_ms": 5000, "goal_ms": 300, "max_attempts": 1},
-			{"name": "stream", "hostname": "desk.example", "path_prefix": "/stream/", "kind": "streaming", "service": "models", "timeout_ms": 20000, "goal_ms": 2000, "gap_target_ms": 800, "max_attempts": 3, "resumable": true}],
+			{"name": "stream", "hostname": "desk.example", "path_prefix": "/stream/", "kind": "streaming", "service": "models", "timeout_ms": 20000, "goal_ms": 2000, "gap_target_ms": 800, "max_attempts": 3, "resumable": true},
+			{"name": "splice", "hostname": "desk.example", "path_prefix": "/splice/", "kind": "streaming", "service": "models", "timeout_ms": 20000, "goal_ms": 2000, "gap_target_ms": 800, "max_attempts": 2, "resumable": true}],
 		"services": [{"name": "plain", "max_conns": 200}, {"name": "models", "max_conns": 200, "engine": {"slots": 16, "kv_capacity": 100000, "stride": 8,
 			"chunk": 2048, "step_ms": 1, "per_seq_ms": 0.01, "context_per_k": 0, "read_per_s": 200000, "pairs_per_m": 0.01, "usual": {"answer": 160}}}],
 		"limits": {"max_header_bytes": 16384, "max_body_bytes": 65536, "header_timeout_ms": 2000, "idle_timeout_ms": 9000},
--- a/core/relayer/open.go
+++ b/core/relayer/open.go
@@ -49,7 +49,7 @@
 	// the caller.
 	prefilled   atomic.Bool
 	headWritten atomic.Bool
-	// lastEventID is the identifier of the last event that the caller has received.
+	// lastEventID is the identifier of the last event that the caller has received, nil if no other server can go on from it.
 	lastEventID atomic.Pointer[string]
 	// succession prepares a successor at another server; it is nil until the attempt may have one.
 	succession atomic.Pointer[succession]
@@ -89,8 +89,7 @@
 	}
 	open.recordProgress(open.startedAt)
 	open.headWritten.Store(j.headWritten)
-	lastEventID := j.lastEventID
-	open.lastEventID.Store(&lastEventID)
+	open.lastEventID.Store(j.resumeFrom())
 	// The owner may schedule more urgent prompts first, as long as this stream meets its objective.
 	stallsAt := r.Timer.Now().Add(permit.TimeToFirstToken + max(firstEventGrace, j.route.LatencyObjective/2))
 	if objectiveLimit := j.exchange.Arrived.Add(j.route.LatencyObjective + objectiveGrace); objectiveLimit.After(stallsAt) {
--- a/core/relayer/relayer.go
+++ b/core/relayer/relayer.go
@@ -148,8 +148,9 @@
 	longestGap  time.Duration
 	// lastEventID is the identifier of the last event that the caller has received.
 	lastEventID string
-	// eventCount is the number of events forwarded.
-	eventCount int
+	// eventCount is the number of events forwarded, and endsUnnamed is set if the last of them had no identifier.
+	eventCount  int
+	endsUnnamed bool
 	// abandoned is set if this VM ended the last attempt although its server had not failed.
 	abandoned bool
 	// attemptHistory describes the attempts for the log, and stopReason is the reason why no further attempt was made,
--- a/core/relayer/stream.go
+++ b/core/relayer/stream.go
@@ -81,8 +81,8 @@
 			return err
 		}
 	}
-	if a.response.Head().Status != statusOK {
-		return r.forwardFailure(j, a.response)
+	if !isEventStream(a.response) {
+		return r.forwardWhole(j, a.response)
 	}
 	return r.forwardEvents(a, j)
 }
@@ -90,10 +90,17 @@
 // statusOK is the status of a response that is a stream of events.
 const statusOK = 200
 
-// forwardFailure forwards a server's error response, unless another server may be tried.
-func (r *Relayer) forwardFailure(j *job, response dragonflypass.BackendResponse) error {
+// isEventStream reports whether the response is a stream of events.
+func isEventStream(response dragonflypass.BackendResponse) bool {
+	head := response.Head()
+	return head.Status == statusOK && head.EventStream
+}
+
+// forwardWhole forwards a response that is not a stream of events, such as a server's error, unless another server may be
+// tried or the caller has received a part of a stream.
+func (r *Relayer) forwardWhole(j *job, response dragonflypass.BackendResponse) error {
 	if j.headWritten || j.route.Retryable() && j.attemptCount < j.route.MaxAttempts {
-		return eris.Wrapf(dragonflypass.ErrBroken, "status %d", response.Head().Status)
+		return eris.Wrapf(dragonflypass.ErrBroken, "status %d, no event stream", response.Head().Status)
 	}
 	chunk, err := response.Next()
 	if err != nil {
@@ -119,7 +126,8 @@
 			return errCallerDisconnected
 		}
 	}
-	for {
+	// continues is set until the first event of a response that continues another server's stream.
+	for continues := j.eventCount > 0; ; {
 		chunk, err := r.nextEvent(a)
 		if errors.Is(err, io.EOF) {
 			return nil
@@ -128,13 +136,37 @@
 			return err
 		}
 		a.open.recordProgress(r.Timer.Now())
+		if chunk.Comment {
+			if j.writer.WriteChunk(chunk) != nil {
+				return errCallerDisconnected
+			}
+			continue
+		}
+		if continues && !j.mayContinueWith(chunk) {
+			return eris.Wrapf(dragonflypass.ErrBroken, "event %q may not follow %q of another server", chunk.ID, j.lastEventID)
+		}
+		continues = false
 		a.open.stallsAt.Store(r.Timer.Now().Add(max(minStallTimeout, gapFactor*j.route.MaxEventGap)).UnixNano())
 		if err := r.forwardEvent(j, chunk); err != nil {
 			return err
 		}
-		lastEventID := j.lastEventID
-		a.open.lastEventID.Store(&lastEventID)
+		a.open.lastEventID.Store(j.resumeFrom())
+	}
+}
+
+// resumeFrom returns the identifier of the last event that the caller has received, empty for none. It returns nil if the
+// events have no identifiers from which another server could go on.
+func (j *job) resumeFrom() *string {
+	if j.eventCount > 0 && (j.lastEventID == "" || j.endsUnnamed) {
+		return nil
 	}
+	lastEventID := j.lastEventID
+	return &lastEventID
+}
+
+// mayContinueWith reports whether the event of another server may follow the events that the caller has received.
+func (j *job) mayContinueWith(chunk dragonflypass.Chunk) bool {
+	return chunk.ID != "" && j.lastEventID != "" && !j.endsUnnamed && compareEventIDs(j.lastEventID, chunk.ID) != eventUnrelated
 }
 
 // nextEvent returns the next event of the attempt's response and reports the first one to the owner of the permit.
@@ -144,7 +176,7 @@
 		return *chunk, nil
 	}
 	chunk, err := a.response.Next()
-	if err == nil && a.open.prefilled.CompareAndSwap(false, true) {
+	if err == nil && !chunk.Comment && a.open.prefilled.CompareAndSwap(false, true) {
 		r.Permits.Prefilled(a.permit)
 	}
 	return chunk, err
@@ -157,8 +189,8 @@
 	case eventDuplicate:
 		r.Meter.Add(dragonflypass.CountFrameDropped, 1)
 		return nil
-	case eventAfterGap:
-		return eris.Wrapf(dragonflypass.ErrBroken, "event %s after %s", chunk.ID, j.lastEventID)
+	case eventUnrelated:
+		return eris.Wrapf(dragonflypass.ErrBroken, "event %q after %q", chunk.ID, j.lastEventID)
 	}
 	if err := j.writer.WriteChunk(chunk); err != nil {
 		return errCallerDisconnected
@@ -172,7 +204,8 @@
 	}
 	j.lastChunkAt = now
 	j.eventCount++
-	if chunk.ID != "" {
+	j.endsUnnamed = chunk.ID == ""
+	if !j.endsUnnamed {
 		j.lastEventID = chunk.ID
 	}
 	return nil
@@ -184,24 +217,31 @@
 const (
 	eventNext eventOrder = iota
 	eventDuplicate
-	eventAfterGap
+	// eventUnrelated means that events are missing before this one, or that it belongs to another stream.
+	eventUnrelated
 )
 
-// compareEventIDs compares the identifiers of two consecutive events. Identifiers that are not numbers are always
-// accepted.
+// compareEventIDs compares the identifiers of two consecutive events. An event without an identifier follows any other;
+// after a number only the next number does.
 func compareEventIDs(lastID, id string) eventOrder {
-	number, err := strconv.ParseUint(id, 10, 64)
-	if err != nil {
+	if lastID == "" || id == "" {
 		return eventNext
 	}
+	if lastID == id {
+		return eventDuplicate
+	}
 	lastNumber, err := strconv.ParseUint(lastID, 10, 64)
-	switch {
-	case lastID != "" && err != nil:
+	if err != nil {
 		return eventNext
-	case number <= lastNumber && lastID != "":
+	}
+	number, err := strconv.ParseUint(id, 10, 64)
+	switch {
+	case err != nil:
+		return eventUnrelated
+	case number <= lastNumber:
 		return eventDuplicate
-	case number > lastNumber+1 && lastID != "":
-		return eventAfterGap
+	case number > lastNumber+1:
+		return eventUnrelated
 	}
 	return eventNext
 }
--- a/core/relayer/succession.go
+++ b/core/relayer/succession.go
@@ -75,7 +75,12 @@
 	stallsAt := s.predecessor.open.stallsAt.Load()
 	for r.mayRetry(s.ctx, j) {
 		for {
-			j.lastEventID = *s.predecessor.open.lastEventID.Load()
+			lastEventID := s.predecessor.open.lastEventID.Load()
+			if lastEventID == nil {
+				r.Budgets.Refund(j.service)
+				return nil
+			}
+			j.lastEventID = *lastEventID
 			a, err := r.begin(s.ctx, j)
 			if err == nil && s.predecessor.open.stallsAt.Load() != stallsAt {
 				// The predecessor has received an event while this attempt waited for its permit.
@@ -104,7 +109,7 @@
 	s := r.newSuccession(ctx, a, j)
 	err := r.sendStream(a, j)
 	if err == nil {
-		err = r.readFirstEvent(a)
+		err = r.readFirstEvent(a, j)
 	}
 	if err == nil {
 		s.drop()
@@ -118,20 +123,27 @@
 	return successor, err
 }
 
-// readFirstEvent waits for the first event of the attempt, or the end of the stream.
-func (r *Relayer) readFirstEvent(a *attempt) error {
-	if a.response.Head().Status != statusOK {
+// readFirstEvent waits for the first event of the attempt, which must continue those that the caller has received, or the end
+// of the stream.
+func (r *Relayer) readFirstEvent(a *attempt, j *job) error {
+	if !isEventStream(a.response) {
 		return dragonflypass.ErrBroken
 	}
-	chunk, err := r.nextEvent(a)
-	if errors.Is(err, io.EOF) {
-		return nil
-	}
-	if err != nil {
-		return err
+	for {
+		chunk, err := r.nextEvent(a)
+		switch {
+		case errors.Is(err, io.EOF):
+			return nil
+		case err != nil:
+			return err
+		case chunk.Comment:
+		case j.lastEventID != "" && !j.mayContinueWith(chunk):
+			return dragonflypass.ErrBroken
+		default:
+			a.firstChunk = &chunk
+			return nil
+		}
 	}
-	a.firstChunk = &chunk
-	return nil
 }
 
 // conclude records the result of a preparation and cancels the predecessor if there is a successor.
--- a/exchange.go
+++ b/exchange.go
@@ -82,6 +82,8 @@
 	Length int64
 	// Signed is set when the response carries the server's signature.
 	Signed bool
+	// EventStream is set when the response is forwarded as a stream of events; any other response is forwarded as a whole.
+	EventStream bool
 	// Load is the load that the server reported, nil if it did not.
 	Load *LoadReport
 }
@@ -98,6 +100,8 @@
 	// ID identifies an event of a stream; it is empty for other data.
 	ID   string
 	Data []byte
+	// Comment is set for the parts of a stream between its events: comments and empty lines.
+	Comment bool
 }
 
 // ServerRefusal is the error of a request that a backend server reported as not executed; it matches ErrRefused.
--- a/internal/fake/backend.go
+++ b/internal/fake/backend.go
@@ -215,9 +215,9 @@
 	}
 	server.startRequest(request.Exchange.ID)
 	r := &backendResponse{ctx: ctx, server: server, fault: fault, start: time.Now(), stream: request.EventStream}
-	r.head = dragonflypass.ResponseHead{Status: http.StatusOK, Signed: fault != BackendUnsigned}
+	r.head = dragonflypass.ResponseHead{Status: http.StatusOK, Signed: fault != BackendUnsigned, EventStream: r.stream}
 	if fault == BackendFailing {
-		r.head.Status, r.stream = http.StatusInternalServerError, false
+		r.head.Status, r.stream, r.head.EventStream = http.StatusInternalServerError, false, false
 	}
 	if string(request.Exchange.Body) == CrashBody {
 		err = r.crashServer()
