Believe a refusal only where it cannot be an earlier one

What callers saw: another operator reports callers that were told "not run, try again" for requests that a server had run, after a faulty server had written an earlier refusal once more on a kept connection.

Cause: a response without an identifier was taken for the response to the request, and one with the identifier of the attempt too, although the same attempt may have been refused on that connection before. Refusals often carry no identifier. Requests that must not run twice use a new connection each, where no earlier response exists; so here it was requests that may be repeated that were reported as not run, or got the answer to another one if it had no identifier.

Why this works: a connection is closed after a refusal, so that no connection carries a request after one. A connection on which a foreign response was seen is not kept, and neither is one that has bytes to read, or has been closed by the server, before the next request is written.

--- a/adapter/dialer/dialer.go
+++ b/adapter/dialer/dialer.go
@@ -42,3 +42,22 @@
 	var opErr *net.OpError
 	return errors.As(err, &opErr) && opErr.Op == "dial"
 }
+
+// Quiet reports whether the connection is open and has nothing to read, as is expected of an idle connection. It does not
+// block.
+func Quiet(conn net.Conn) bool {
+	socket, ok := conn.(syscall.Conn)
+	if !ok {
+		return false
+	}
+	raw, err := socket.SyscallConn()
+	if err != nil {
+		return false
+	}
+	quiet := false
+	err = raw.Control(func(fd uintptr) {
+		_, _, peekErr := unix.Recvfrom(int(fd), make([]byte, 1), unix.MSG_PEEK|unix.MSG_DONTWAIT)
+		quiet = errors.Is(peekErr, unix.EAGAIN)
+	})
+	return err == nil && quiet
+}
