Test requests at an owner without a model server

An owner without a usable server asks whether the registry has been read while it holds the lock of its servers. On the code before the new test failed with "locker: configuration taken while holding servers".

--- a/core/composer/start_test.go
+++ b/core/composer/start_test.go
@@ -1,12 +1,14 @@
 package composer_test
 
 import (
+	"fmt"
 	"testing"
 	"testing/synctest"
 	"time"
 
 	qt "github.com/frankban/quicktest"
 
+	"github.com/dragonflypass/dragonflypass"
 	"github.com/dragonflypass/dragonflypass/internal/fake"
 )
 
@@ -54,3 +56,16 @@
 		c.Check(s.Send(0, fake.NewExchange("stream", "/stream/x", 900)).Err, qt.IsNil)
 	})
 }
+
+// TestRequestWithoutModelServer removes the only model server; the owner then asks for the state of the registry while it
+// holds its lock.
+func TestRequestWithoutModelServer(t *testing.T) {
+	withRelaySite(t, 2, 1, 1, func(c *qt.C, s *fake.RelaySite) {
+		s.Unregister(s.ModelServers[0])
+		time.Sleep(5 * time.Second)
+		for i := range s.Nodes {
+			got := s.Send(i, fake.NewExchange(fmt.Sprintf("none-%d", i), "/stream/x", 500))
+			c.Check(refusalReason(got.Err), qt.Equals, dragonflypass.ReasonNoServer)
+		}
+	})
+}
