Send nothing new to servers that say that they leave

A server that leaves says so in all of its responses (Server-Leaving: 1), often long before its registry entry changes or without the entry changing at all. Requests went on to it until the registry said so.

The release tells the owner, which stops choosing the server for all VMs; the new field of the message is ignored by earlier versions. Without another server the request is refused.

The test of the messages compares releases with DeepEquals, since they have a list now.

--- a/adapter/exposer/dump.go
+++ b/adapter/exposer/dump.go
@@ -26,11 +26,13 @@
 	Owners         []Owner                                `json:"owners"`
 	Registry       []RegistryEntry                        `json:"registry"`
 	FailingServers []FailingServer                        `json:"failing"`
-	QueuedRequests int                                    `json:"waiting"`
-	Servers        []Server                               `json:"servers"`
-	Streams        []Stream                               `json:"streams"`
-	Budgets        []Budget                               `json:"budgets"`
-	Suspects       []Suspect                              `json:"suspects"`
+	// ExcludedServers are the backend servers that expect no new requests from this VM.
+	ExcludedServers []ExcludedServer `json:"excluded"`
+	QueuedRequests  int              `json:"waiting"`
+	Servers         []Server         `json:"servers"`
+	Streams         []Stream         `json:"streams"`
+	Budgets         []Budget         `json:"budgets"`
+	Suspects        []Suspect        `json:"suspects"`
 }
 
 // Topic describes the local copy of a topic of the store: the offset up to which it was read
@@ -87,6 +89,14 @@
 	EjectedUntil time.Time              `json:"out"`
 }
 
+// ExcludedServer is a backend server that expects no new requests from this VM.
+type ExcludedServer struct {
+	Server    dragonflypass.ServerID `json:"server"`
+	Address   netip.AddrPort         `json:"address"`
+	StartedAt int64                  `json:"born"`
+	Leaving   bool                   `json:"leaving"`
+}
+
 // Server is the load of a model server that this VM owns; Reserved is in tokens.
 type Server struct {
 	Service          dragonflypass.ServiceID `json:"service"`
@@ -149,6 +159,9 @@
 	for _, f := range s.FailingServers {
 		d.FailingServers = append(d.FailingServers, FailingServer(f))
 	}
+	for _, server := range s.ExcludedServers {
+		d.ExcludedServers = append(d.ExcludedServers, ExcludedServer(server))
+	}
 	for _, server := range s.Servers {
 		d.Servers = append(d.Servers, Server(server))
 	}
--- a/adapter/messenger/message.go
+++ b/adapter/messenger/message.go
@@ -119,6 +119,8 @@
 	OutputTokens int      `cbor:"output,omitempty"`
 	Outcome      uint8    `cbor:"outcome"`
 	FaultyHelper string   `cbor:"culprit,omitempty"`
+	// Leaving is ignored by the versions that do not know it.
+	Leaving []string `cbor:"leaving,omitempty"`
 }
 
 type openStream struct {
@@ -286,16 +288,24 @@
 }
 
 func toRelease(r dragonflypass.PermitRelease) release {
-	return release{
+	w := release{
 		Stream: toStreamID(r.Stream), Server: string(r.Server), OutputTokens: r.OutputTokens, Outcome: uint8(r.Outcome), FaultyHelper: string(r.FaultyHelper),
 	}
+	for _, server := range r.Leaving {
+		w.Leaving = append(w.Leaving, string(server))
+	}
+	return w
 }
 
 func (w release) release() dragonflypass.PermitRelease {
-	return dragonflypass.PermitRelease{
+	r := dragonflypass.PermitRelease{
 		Stream: w.Stream.id(), Server: dragonflypass.ServerID(w.Server), OutputTokens: w.OutputTokens,
 		Outcome: dragonflypass.StreamOutcome(w.Outcome), FaultyHelper: dragonflypass.ServerID(w.FaultyHelper),
 	}
+	for _, server := range w.Leaving {
+		r.Leaving = append(r.Leaving, dragonflypass.ServerID(server))
+	}
+	return r
 }
 
 func toOpenStream(s dragonflypass.OpenStream, now time.Time) openStream {
--- a/adapter/messenger/messenger_test.go
+++ b/adapter/messenger/messenger_test.go
@@ -191,9 +191,9 @@
 	page, err := client.ConfigEntries(t.Context(), vm, 12)
 	c.Assert(err, qt.IsNil)
 	c.Check(page.Entries[0].Record.Change.ID, qt.Equals, "c")
-	release := dragonflypass.PermitRelease{Stream: request().Stream, Server: "s", OutputTokens: 5, Outcome: dragonflypass.OutcomeLost}
+	release := dragonflypass.PermitRelease{Stream: request().Stream, Server: "s", OutputTokens: 5, Outcome: dragonflypass.OutcomeLost, Leaving: []dragonflypass.ServerID{"s", "t"}}
 	c.Assert(client.Release(t.Context(), vm, release), qt.IsNil)
-	c.Check(<-peer.releases, qt.Equals, release)
+	c.Check(<-peer.releases, qt.DeepEquals, release)
 	crash := dragonflypass.ServerCrash{Server: "s", Epoch: 4, Fingerprints: []dragonflypass.Fingerprint{{Account: "a", Model: "m", Body: dragonflypass.Digest{1}}}, At: time.Unix(4, 0)}
 	c.Assert(client.ReportCrash(t.Context(), vm, crash), qt.IsNil)
 	c.Check(<-peer.crashes, qt.DeepEquals, crash)
--- a/core/allocator/allocator.go
+++ b/core/allocator/allocator.go
@@ -54,6 +54,9 @@
 	Servers func(shard dragonflypass.Shard) []dragonflypass.ServerEntry
 	// RegistryLoaded reports whether the servers are known. Until then, requests are queued although there is no server.
 	RegistryLoaded func() bool
+	// Leaving reports whether the server has said that it leaves, and RecordLeaving records that another VM was told so.
+	Leaving       func(server dragonflypass.ServerEntry) bool
+	RecordLeaving func(server dragonflypass.ServerEntry)
 	// Balancer moves requests to other shards; nil if each service has a single one.
 	Balancer Balancer
 
@@ -104,6 +107,8 @@
 func New() *Allocator {
 	return &Allocator{
 		RegistryLoaded: func() bool { return true },
+		Leaving:        func(dragonflypass.ServerEntry) bool { return false },
+		RecordLeaving:  func(dragonflypass.ServerEntry) {},
 		mutex:          locker.Mutex{Order: locker.Servers},
 		clusters:       make(map[dragonflypass.Shard]*cluster),
 		permits:        make(map[dragonflypass.StreamID]*permit),
@@ -217,6 +222,11 @@
 		return
 	}
 	a.removePermit(p, now)
+	for _, s := range p.servers() {
+		if slices.Contains(release.Leaving, s.entry.ID) {
+			a.RecordLeaving(s.entry)
+		}
+	}
 	if release.Outcome == dragonflypass.OutcomeDone {
 		p.server.engine.AlignPass(now.Add(-transitTime))
 	}
--- a/core/allocator/place.go
+++ b/core/allocator/place.go
@@ -238,12 +238,12 @@
 	return value - (1-lateValue)*candidate.delayedStreams
 }
 
-// usableServers returns the servers that may process the request: the healthy ones, or all if none is healthy. The mutex
-// must be held.
+// usableServers returns the servers that may process the request: the healthy ones, or all if none is healthy, without
+// those that leave. The mutex must be held.
 func (a *Allocator) usableServers(c *cluster, q *queuedRequest) []*server {
 	var healthy, all []*server
 	for _, s := range c.serverList {
-		if slices.Contains(q.request.ExcludedServers, s.entry.ID) {
+		if slices.Contains(q.request.ExcludedServers, s.entry.ID) || a.Leaving(s.entry) {
 			continue
 		}
 		all = append(all, s)
--- a/core/balancer/balancer.go
+++ b/core/balancer/balancer.go
@@ -7,6 +7,7 @@
 
 	"github.com/dragonflypass/dragonflypass"
 	"github.com/dragonflypass/dragonflypass/core/assessor"
+	"github.com/dragonflypass/dragonflypass/core/excluder"
 	"github.com/dragonflypass/dragonflypass/core/locker"
 )
 
@@ -32,6 +33,7 @@
 	Zone     dragonflypass.AvailabilityZone
 	Timer    dragonflypass.Timer
 	Assessor *assessor.Assessor
+	Excluder *excluder.Excluder
 
 	mutex   locker.Mutex
 	servers map[dragonflypass.ServerID]*serverLoad
@@ -55,14 +57,14 @@
 }
 
 // Pick selects the server with the lowest cost and counts the request as in flight there; ok is false if all
-// servers are excluded.
+// servers are excluded or expect no new requests.
 func (b *Balancer) Pick(entries []dragonflypass.ServerEntry, excluded []dragonflypass.ServerID) (best dragonflypass.ServerEntry, ok bool) {
 	now := b.Timer.Now()
 	b.mutex.Lock()
 	defer b.mutex.Unlock()
 	var lowestCost float64
 	for i := range entries {
-		if slices.Contains(excluded, entries[i].ID) {
+		if slices.Contains(excluded, entries[i].ID) || b.Excluder.Excluded(entries[i].ID, entries[i].Address) {
 			continue
 		}
 		if cost := b.cost(&entries[i], now); !ok || cost < lowestCost {
--- a/core/composer/relay.go
+++ b/core/composer/relay.go
@@ -16,6 +16,7 @@
 	"github.com/dragonflypass/dragonflypass/core/connector"
 	"github.com/dragonflypass/dragonflypass/core/detector"
 	"github.com/dragonflypass/dragonflypass/core/elector"
+	"github.com/dragonflypass/dragonflypass/core/excluder"
 	"github.com/dragonflypass/dragonflypass/core/follower"
 	"github.com/dragonflypass/dragonflypass/core/handler"
 	"github.com/dragonflypass/dragonflypass/core/locker"
@@ -70,6 +71,7 @@
 	Router      *router.Router
 	Registrar   *registrar.Registrar
 	Assessor    *assessor.Assessor
+	Excluder    *excluder.Excluder
 	Prober      *prober.Prober
 	Balancer    *balancer.Balancer
 	Allocator   *allocator.Allocator
@@ -226,8 +228,12 @@
 	n.Assessor = assessor.New()
 	n.Assessor.Timer, n.Assessor.Meter, n.Assessor.Logger = p.Timer, p.Meter, p.Logger
 
+	x := excluder.New()
+	x.Timer, x.Servers, x.Meter, x.Logger = p.Timer, n.Registrar, p.Meter, p.Logger
+	n.Excluder = x
+
 	b := balancer.New()
-	b.Zone, b.Timer, b.Assessor = o.Self.Zone, p.Timer, n.Assessor
+	b.Zone, b.Timer, b.Assessor, b.Excluder = o.Self.Zone, p.Timer, n.Assessor, x
 	n.Balancer = b
 
 	a := allocator.New()
@@ -236,6 +242,10 @@
 	h.Zone, h.Timer, h.Servers = o.Self.Zone, p.Timer, n.Registrar.Servers
 	n.Sharder = h
 	a.CostModel, a.Servers, a.RegistryLoaded, a.Balancer = n.costModel, h.ShardServers, n.Registry.Loaded, h
+	a.Leaving = func(entry dragonflypass.ServerEntry) bool { return x.Leaving(entry.ID, entry.Address) }
+	a.RecordLeaving = func(entry dragonflypass.ServerEntry) {
+		x.Record(excluder.InstanceOf(entry), dragonflypass.ServerNotice{Leaving: true})
+	}
 	n.Allocator = a
 	n.Registrar.Changed = a.RejectUnservable
 
@@ -261,10 +271,10 @@
 	l.Self, l.Incarnation, l.Timer, l.Backend = o.Self, o.Incarnation, p.Timer, p.Backend
 	l.Meter, l.Logger, l.Router, l.Directory, l.Balancer = p.Meter, p.Logger, n.Router, n.Registrar, n.Balancer
 	l.Permits, l.Budgets, l.LeavingSince, l.ServerUnreachable = n.Acquirer, n.Budgets, n.Detector.LeavingSince, n.recordUnreachable
-	l.Prober, l.Assessor = n.Prober, n.Assessor
+	l.Prober, l.Assessor, l.Excluder = n.Prober, n.Assessor, n.Excluder
 	l.Loaded = []<-chan struct{}{n.Routing.LoadedDone(), n.Registry.LoadedDone()}
 	l.Quarantiner, l.Crashes = n.Quarantiner, n
-	l.Reserver = &reserver.Reserver{Timer: p.Timer, Pool: p.Pool, Backend: p.Backend, Meter: p.Meter, Logger: p.Logger}
+	l.Reserver = &reserver.Reserver{Timer: p.Timer, Pool: p.Pool, Backend: p.Backend, Meter: p.Meter, Logger: p.Logger, Excluder: n.Excluder}
 	l.Owner = func(shard dragonflypass.Shard) dragonflypass.VMID { return n.Acquirer.Owner(shard).ID }
 	l.HandleHeartbeat = n.Allocator.HandleHeartbeat
 	n.Relayer = l
@@ -408,7 +418,7 @@
 // Run runs the components until ctx ends. The pool and the timer must be running already.
 func (n *Relay) Run(ctx context.Context) {
 	var wg sync.WaitGroup
-	for _, run := range []func(context.Context){n.Detector.Run, n.Routing.Run, n.Registry.Run, n.Registrar.Run, n.Allocator.Run, n.Prober.Run, n.Relayer.Run} {
+	for _, run := range []func(context.Context){n.Detector.Run, n.Routing.Run, n.Registry.Run, n.Registrar.Run, n.Allocator.Run, n.Excluder.Run, n.Prober.Run, n.Relayer.Run} {
 		wg.Go(func() { run(ctx) })
 	}
 	wg.Wait()
--- a/core/relayer/attempt.go
+++ b/core/relayer/attempt.go
@@ -33,6 +33,10 @@
 func (r *Relayer) begin(ctx context.Context, j *job) (*attempt, error) {
 	request := r.permitRequest(j)
 	permit, err := r.Permits.Acquire(ctx, request)
+	for err == nil && r.returnExcluded(j, permit) {
+		request = r.permitRequest(j)
+		permit, err = r.Permits.Acquire(ctx, request)
+	}
 	if err != nil {
 		return nil, err
 	}
@@ -52,7 +56,7 @@
 	a.freeMemory = freeMemory
 	request := j.backendRequest(a.permit.Server)
 	request.Address, request.Helpers, request.Urgency = a.permit.Address, a.permit.Helpers, a.permit.Priority
-	response, err := r.Backend.Send(a.ctx, request)
+	response, err := r.sendRequest(a.ctx, request)
 	if errors.Is(err, dragonflypass.ErrUnavailable) {
 		return err
 	}
@@ -91,6 +95,7 @@
 	r.checkForCrash(a.ctx, j, a.permit.Server, err)
 	r.Permits.Release(a.permit, dragonflypass.PermitRelease{
 		Stream: a.permit.Stream, Server: a.permit.Server, Outcome: outcomeOf(a.ctx, err), FaultyHelper: faultyHelper(a.permit, err),
+		Leaving: permitServers(a.permit, r.Excluder.Leaving),
 	})
 	a.cancel(nil)
 	return err
--- a/core/relayer/buffered.go
+++ b/core/relayer/buffered.go
@@ -130,7 +130,7 @@
 // call sends one request and reads the response; it returns ErrBroken for a response without the server's
 // signature.
 func (r *Relayer) call(ctx context.Context, request dragonflypass.BackendRequest) (*response, error) {
-	backendResponse, err := r.Backend.Send(ctx, request)
+	backendResponse, err := r.sendRequest(ctx, request)
 	if err != nil {
 		return nil, err
 	}
--- /dev/null
+++ b/core/relayer/notice.go
@@ -0,0 +1,57 @@
+package relayer
+
+import (
+	"context"
+	"errors"
+	"net/netip"
+
+	"github.com/dragonflypass/dragonflypass"
+)
+
+// sendRequest sends the request and records what the response says about further requests to the server.
+func (r *Relayer) sendRequest(ctx context.Context, request dragonflypass.BackendRequest) (dragonflypass.BackendResponse, error) {
+	instance := r.Excluder.Instance(request.Server, request.Address)
+	response, err := r.Backend.Send(ctx, request)
+	var refusal *dragonflypass.ServerRefusal
+	switch {
+	case err == nil:
+		r.Excluder.Record(instance, response.Head().Notice)
+	case !errors.As(err, &refusal):
+	case !refusal.Misdirected:
+		r.Excluder.Record(instance, refusal.Notice)
+	case refusal.Notice.Leaving:
+		if resident, ok := r.Excluder.InstanceAt(request.Address); ok && resident.Server != request.Server {
+			r.Excluder.Record(resident, refusal.Notice)
+		}
+	}
+	return response, err
+}
+
+// returnExcluded returns the permit unused and reports true if one of its servers may receive no new request. The server
+// may have said so while the permit was requested, or only to this VM.
+func (r *Relayer) returnExcluded(j *job, permit dragonflypass.Permit) bool {
+	excluded := permitServers(permit, r.Excluder.Excluded)
+	if len(excluded) == 0 {
+		return false
+	}
+	j.excluded = append(j.excluded, excluded...)
+	r.Meter.Add(dragonflypass.CountPermitReturned, 1)
+	r.Permits.Release(permit, dragonflypass.PermitRelease{
+		Stream: permit.Stream, Server: permit.Server, Outcome: dragonflypass.OutcomeRefused, Leaving: permitServers(permit, r.Excluder.Leaving),
+	})
+	return true
+}
+
+// permitServers returns the servers of the permit, helpers included, that match.
+func permitServers(permit dragonflypass.Permit, matches func(dragonflypass.ServerID, netip.AddrPort) bool) []dragonflypass.ServerID {
+	var servers []dragonflypass.ServerID
+	if matches(permit.Server, permit.Address) {
+		servers = append(servers, permit.Server)
+	}
+	for _, h := range permit.Helpers {
+		if matches(h.Server, h.Address) {
+			servers = append(servers, h.Server)
+		}
+	}
+	return servers
+}
--- a/core/relayer/relayer.go
+++ b/core/relayer/relayer.go
@@ -11,6 +11,7 @@
 	"github.com/dragonflypass/dragonflypass"
 	"github.com/dragonflypass/dragonflypass/core/assessor"
 	"github.com/dragonflypass/dragonflypass/core/balancer"
+	"github.com/dragonflypass/dragonflypass/core/excluder"
 	"github.com/dragonflypass/dragonflypass/core/locker"
 	"github.com/dragonflypass/dragonflypass/core/prober"
 	"github.com/dragonflypass/dragonflypass/core/quarantiner"
@@ -85,6 +86,7 @@
 	Reserver    *reserver.Reserver
 	Prober      *prober.Prober
 	Assessor    *assessor.Assessor
+	Excluder    *excluder.Excluder
 	Budgets     *retrier.Budgets
 	Quarantiner *quarantiner.Quarantiner
 	Crashes     Crashes
--- a/core/relayer/stream.go
+++ b/core/relayer/stream.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"io"
+	"slices"
 	"strconv"
 	"time"
 
@@ -69,7 +70,7 @@
 		Stream: dragonflypass.StreamID{VM: r.Self.ID, Incarnation: r.Incarnation, Sequence: r.sequence.Add(1)},
 		ID:     e.ID, Account: j.match.Account, Model: shape.Model, Service: j.service, Priority: j.match.Priority,
 		PromptTokens: shape.Tokens, OutputTokens: shape.OutputTokens, ExpectedTokens: shape.ExpectedTokens,
-		MaxEventGap: j.route.MaxEventGap, ExcludedServers: j.excluded, Deadline: j.deadline, FirstTokenDeadline: e.Arrived.Add(j.route.LatencyObjective),
+		MaxEventGap: j.route.MaxEventGap, ExcludedServers: slices.Concat(j.excluded, r.Excluder.ExcludedServers(j.service)), Deadline: j.deadline, FirstTokenDeadline: e.Arrived.Add(j.route.LatencyObjective),
 		Fingerprint: fingerprintOf(j.match, e),
 	}
 }
--- a/core/reserver/reserver.go
+++ b/core/reserver/reserver.go
@@ -6,7 +6,10 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/rotisserie/eris"
+
 	"github.com/dragonflypass/dragonflypass"
+	"github.com/dragonflypass/dragonflypass/core/excluder"
 )
 
 const (
@@ -33,8 +36,13 @@
 	Backend dragonflypass.Backend
 	Meter   dragonflypass.Meter
 	Logger  dragonflypass.Logger
+	// Excluder names the servers at which no new reservation may be made.
+	Excluder *excluder.Excluder
 }
 
+// errExcluded is the error of a reservation at a server that expects no new requests.
+var errExcluded = eris.New("reserver: the server expects no new requests")
+
 // reservation is the memory reserved at one helper.
 type reservation struct {
 	helper dragonflypass.Helper
@@ -52,7 +60,7 @@
 		}
 		res := &reservation{helper: h}
 		reservations = append(reservations, res)
-		if err := r.reserve(ctx, res); err != nil {
+		if err := r.reserveNew(ctx, res); err != nil {
 			r.Meter.Add(dragonflypass.CountReservationFailed, 1)
 			r.Logger.Info("reservation failed", "server", h.Server, "name", h.Reservation, "tokens", h.Tokens, "error", err)
 			r.freeAll(reservations)
@@ -69,13 +77,27 @@
 	}, failedHelper, nil
 }
 
+// reserveNew makes a reservation that is not in use yet, unless its server expects no new requests or says so now.
+func (r *Reserver) reserveNew(ctx context.Context, res *reservation) error {
+	if r.Excluder.Excluded(res.helper.Server, res.helper.Address) {
+		return errExcluded
+	}
+	err := r.reserve(ctx, res)
+	if err == nil && r.Excluder.Excluded(res.helper.Server, res.helper.Address) {
+		return errExcluded
+	}
+	return err
+}
+
 func (r *Reserver) reserve(ctx context.Context, res *reservation) error {
 	ctx, cancel := r.Timer.WithDeadline(ctx, r.Timer.Now().Add(callTimeout))
 	defer cancel()
 	r.Meter.Add(dragonflypass.CountReservationOrders, 1)
-	err := r.Backend.Reserve(ctx, res.helper.Address, dragonflypass.Reservation{
+	instance := r.Excluder.Instance(res.helper.Server, res.helper.Address)
+	notice, err := r.Backend.Reserve(ctx, res.helper.Address, dragonflypass.Reservation{
 		Name: res.helper.Reservation, Tokens: res.helper.Tokens, TTL: reservationTTL,
 	})
+	r.Excluder.Record(instance, notice)
 	if errors.Is(err, dragonflypass.ErrUncertain) {
 		res.uncertain.Store(true)
 	}
@@ -118,5 +140,8 @@
 	ctx, cancel := r.Timer.WithDeadline(ctx, r.Timer.Now().Add(callTimeout))
 	defer cancel()
 	r.Meter.Add(dragonflypass.CountReservationOrders, 1)
-	return r.Backend.Free(ctx, res.helper.Address, res.helper.Reservation)
+	instance := r.Excluder.Instance(res.helper.Server, res.helper.Address)
+	notice, err := r.Backend.Free(ctx, res.helper.Address, res.helper.Reservation)
+	r.Excluder.Record(instance, notice)
+	return err
 }
--- a/exchange.go
+++ b/exchange.go
@@ -85,7 +85,14 @@
 	// EventStream is set when the response is forwarded as a stream of events; any other response is forwarded as a whole.
 	EventStream bool
 	// Load is the load that the server reported, nil if it did not.
-	Load *LoadReport
+	Load   *LoadReport
+	Notice ServerNotice
+}
+
+// ServerNotice is what a response of a backend server says about further requests.
+type ServerNotice struct {
+	// Leaving is set when the server is shutting down and expects no new requests.
+	Leaving bool
 }
 
 // LoadReport is the load of a plain service's server at the time of a response.
@@ -113,6 +120,7 @@
 	Invalid bool
 	// FaultyHelper is the address of the helper that caused the failure, or the zero value.
 	FaultyHelper netip.AddrPort
+	Notice       ServerNotice
 	// RetryAfter is the time after which the server accepts requests again, zero if not given.
 	RetryAfter time.Duration
 }
--- a/internal/fake/backend.go
+++ b/internal/fake/backend.go
@@ -60,7 +60,10 @@
 	runs         map[string]int
 	crashCount   int
 	reservations map[string]int
-	running      int
+	// reservationCount is the number of calls that reserved memory or renewed a reservation.
+	reservationCount int
+	running          int
+	notice           dragonflypass.ServerNotice
 }
 
 // SetFault sets the fault of the server. Running requests are affected only by BackendDown, BackendSilent and BackendDark.
@@ -74,6 +77,19 @@
 	b.faultChanged = make(chan struct{})
 }
 
+// SetNotice sets what the server says about further requests in all of its responses.
+func (b *Backend) SetNotice(notice dragonflypass.ServerNotice) {
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+	b.notice = notice
+}
+
+func (b *Backend) currentNotice() dragonflypass.ServerNotice {
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+	return b.notice
+}
+
 // state returns the fault and a channel that is closed when the fault changes.
 func (b *Backend) state() (BackendFault, <-chan struct{}) {
 	b.mutex.Lock()
@@ -109,6 +125,13 @@
 	return total
 }
 
+// ReservationCalls returns how many calls reserved memory at the server or renewed a reservation.
+func (b *Backend) ReservationCalls() int {
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+	return b.reservationCount
+}
+
 // Running returns the number of running requests.
 func (b *Backend) Running() int {
 	b.mutex.Lock()
@@ -209,9 +232,9 @@
 	fault, _ := server.state()
 	switch {
 	case server.Entry.ID != request.Server:
-		return nil, &dragonflypass.ServerRefusal{Status: http.StatusMisdirectedRequest, Misdirected: true}
+		return nil, &dragonflypass.ServerRefusal{Status: http.StatusMisdirectedRequest, Misdirected: true, Notice: server.currentNotice()}
 	case fault == BackendRefusing:
-		return nil, &dragonflypass.ServerRefusal{Status: http.StatusServiceUnavailable}
+		return nil, &dragonflypass.ServerRefusal{Status: http.StatusServiceUnavailable, Notice: server.currentNotice()}
 	}
 	server.startRequest(request.Exchange.ID)
 	r := &backendResponse{ctx: ctx, server: server, fault: fault, start: time.Now(), stream: request.EventStream}
@@ -228,6 +251,7 @@
 		r.Close()
 		return nil, dragonflypass.ErrUncertain
 	}
+	r.head.Notice = server.currentNotice()
 	r.lastEvent, _ = strconv.Atoi(request.LastEventID)
 	return r, nil
 }
@@ -257,14 +281,14 @@
 	if err != nil {
 		return dragonflypass.ServerUsage{}, err
 	}
-	return dragonflypass.ServerUsage{Running: server.Running(), Used: server.Reserved(), Slowdown: 1}, nil
+	return dragonflypass.ServerUsage{Running: server.Running(), Used: server.Reserved(), Slowdown: 1, Notice: server.currentNotice()}, nil
 }
 
 // Reserve reserves memory, or renews the reservation, without checking that the memory is free.
-func (b *Backends) Reserve(ctx context.Context, address netip.AddrPort, reservation dragonflypass.Reservation) error {
+func (b *Backends) Reserve(ctx context.Context, address netip.AddrPort, reservation dragonflypass.Reservation) (dragonflypass.ServerNotice, error) {
 	server, err := b.connect(ctx, address)
 	if err != nil {
-		return err
+		return dragonflypass.ServerNotice{}, err
 	}
 	server.mutex.Lock()
 	defer server.mutex.Unlock()
@@ -272,19 +296,20 @@
 		server.reservations = make(map[string]int)
 	}
 	server.reservations[reservation.Name] = reservation.Tokens
-	return nil
+	server.reservationCount++
+	return server.notice, nil
 }
 
 // Free releases a reservation.
-func (b *Backends) Free(ctx context.Context, address netip.AddrPort, name string) error {
+func (b *Backends) Free(ctx context.Context, address netip.AddrPort, name string) (dragonflypass.ServerNotice, error) {
 	server, err := b.connect(ctx, address)
 	if err != nil {
-		return err
+		return dragonflypass.ServerNotice{}, err
 	}
 	server.mutex.Lock()
 	defer server.mutex.Unlock()
 	delete(server.reservations, name)
-	return nil
+	return server.notice, nil
 }
 
 // backendResponse is a response in progress.
--- a/metrics.go
+++ b/metrics.go
@@ -51,6 +51,8 @@
 	CountServerProbes      Counter = "server_probes"
 	CountOwnerUnresponsive Counter = "owners_silent"
 	CountServerEjected     Counter = "servers_left_out"
+	CountServerLeaving     Counter = "servers_leaving"
+	CountPermitReturned    Counter = "permits_returned"
 	CountStoreCalls        Counter = "store_calls"
 	CountStoreFailed       Counter = "store_calls_failed"
 	CountRecordUnreadable  Counter = "records_unreadable"
--- a/permit.go
+++ b/permit.go
@@ -79,6 +79,8 @@
 	Outcome      StreamOutcome
 	// FaultyHelper is the helper that caused the failure, empty if none did.
 	FaultyHelper ServerID
+	// Leaving lists the servers of the permit that have said that they leave.
+	Leaving []ServerID
 }
 
 // OpenStream is a stream that an entry VM has open at a backend server.
--- a/ports.go
+++ b/ports.go
@@ -85,11 +85,11 @@
 	Probe(ctx context.Context, server netip.AddrPort) error
 	// Usage returns the memory and request counts that the server at the address reports; they may be out of date.
 	Usage(ctx context.Context, server netip.AddrPort) (ServerUsage, error)
-	// Reserve reserves memory at the server, or renews the reservation.
+	// Reserve reserves memory at the server, or renews the reservation. The notice is that of the response, also of a refusal.
 	// Errors: ErrRefused if the memory is not free, ErrUnavailable, ErrUncertain.
-	Reserve(ctx context.Context, server netip.AddrPort, reservation Reservation) error
+	Reserve(ctx context.Context, server netip.AddrPort, reservation Reservation) (ServerNotice, error)
 	// Free releases a reservation; an unknown reservation is not an error.
-	Free(ctx context.Context, server netip.AddrPort, name string) error
+	Free(ctx context.Context, server netip.AddrPort, name string) (ServerNotice, error)
 }
 
 // BackendResponse is a backend server's response while it is being received.
--- a/server.go
+++ b/server.go
@@ -156,6 +156,7 @@
 	StartedAt int64
 	// Reservations are the current memory reservations.
 	Reservations []ReservationUsage
+	Notice       ServerNotice
 }
 
 // Reservation is memory reserved at a model server.
