Send nothing to a server for the time of its Retry-After

A server that answers 503 may add Retry-After: it wants nothing from that VM for so long. The time was parsed and never used, and one over an hour was dropped, so that requests went on at once.

The time is now part of the notice of every response with status 503, and core/excluder keeps the latest end for each server, also over a restart. The senders that pass over leaving servers pass over these too. The owner is not told, since the time holds for one VM. Renewals of memory in use go on. If no server is left, the caller is told the shortest time until one is.

--- a/adapter/exposer/dump.go
+++ b/adapter/exposer/dump.go
@@ -95,6 +95,8 @@
 	Address   netip.AddrPort         `json:"address"`
 	StartedAt int64                  `json:"born"`
 	Leaving   bool                   `json:"leaving"`
+	// DeferredUntil is the end of the time for which the server wants no requests.
+	DeferredUntil time.Time `json:"until"`
 }
 
 // Server is the load of a model server that this VM owns; Reserved is in tokens.
--- a/core/excluder/excluder.go
+++ b/core/excluder/excluder.go
@@ -5,6 +5,7 @@
 	"context"
 	"net/netip"
 	"slices"
+	"sync/atomic"
 	"time"
 
 	"github.com/dragonflypass/dragonflypass"
@@ -50,12 +51,17 @@
 
 	mutex   locker.Mutex
 	records map[dragonflypass.ServerID]*record
+	// count is the number of records: usually there is none, and no lock is taken for each server that is considered.
+	count atomic.Int64
 }
 
 // record holds what a server has said.
 type record struct {
+	// instance is the one that leaves if leaving is set, else the one that gave the first notice.
 	instance Instance
 	leaving  bool
+	// deferredUntil is the end of the time for which the server wants no requests, also after a restart.
+	deferredUntil time.Time
 	// obsoleteSince is the time at which the instance was first found not to be listed, zero while it is listed.
 	obsoleteSince time.Time
 }
@@ -93,26 +99,47 @@
 
 // Record records the notice of the instance.
 func (e *Excluder) Record(instance Instance, notice dragonflypass.ServerNotice) {
-	if !notice.Leaving {
+	if !notice.Leaving && notice.RetryAfter <= 0 {
 		return
 	}
+	now := e.Timer.Now()
 	e.mutex.Lock()
 	r, ok := e.records[instance.Server]
 	if !ok {
-		r = &record{}
+		r = &record{instance: instance}
 		e.records[instance.Server] = r
+		e.count.Add(1)
+	}
+	if until := now.Add(notice.RetryAfter); until.After(r.deferredUntil) {
+		r.deferredUntil = until
+	}
+	// A late response of an earlier run does not hide that the present one leaves.
+	newlyLeaving := notice.Leaving && !(r.leaving && (r.instance == instance || e.listed(r.instance)))
+	if newlyLeaving {
+		r.instance, r.leaving = instance, true
 	}
-	known := r.leaving && r.instance == instance
-	r.instance, r.leaving = instance, true
 	e.mutex.Unlock()
-	if !known {
+	if notice.RetryAfter > 0 {
+		e.Meter.Add(dragonflypass.CountServerDeferred, 1)
+		e.Logger.Info("backend server defers requests", "server", instance.Server, "span", notice.RetryAfter)
+	}
+	if newlyLeaving {
 		e.Meter.Add(dragonflypass.CountServerLeaving, 1)
 		e.Logger.Info("backend server leaving", "server", instance.Server, "address", instance.Address, "born", instance.StartedAt)
 	}
 }
 
+// listed reports whether the instance is listed.
+func (e *Excluder) listed(instance Instance) bool {
+	entry, ok := e.Servers.Server(instance.Server)
+	return ok && InstanceOf(entry) == instance
+}
+
 // Leaving reports whether the server at the address has said that it leaves, and has not restarted since.
 func (e *Excluder) Leaving(id dragonflypass.ServerID, address netip.AddrPort) bool {
+	if e.count.Load() == 0 {
+		return false
+	}
 	entry, listed := e.Servers.Server(id)
 	e.mutex.Lock()
 	defer e.mutex.Unlock()
@@ -125,7 +152,37 @@
 
 // Excluded reports whether no new request may be sent to the server at the address.
 func (e *Excluder) Excluded(id dragonflypass.ServerID, address netip.AddrPort) bool {
-	return e.Leaving(id, address)
+	return e.Deferred(id) > 0 || e.Leaving(id, address)
+}
+
+// Deferred returns the time for which the server wants no further requests, zero or less if it accepts them.
+func (e *Excluder) Deferred(id dragonflypass.ServerID) time.Duration {
+	if e.count.Load() == 0 {
+		return 0
+	}
+	now := e.Timer.Now()
+	e.mutex.Lock()
+	defer e.mutex.Unlock()
+	r, ok := e.records[id]
+	if !ok {
+		return 0
+	}
+	return r.deferredUntil.Sub(now)
+}
+
+// Wait returns the time until one of the servers accepts requests, zero or less if one does now or all of them leave.
+func (e *Excluder) Wait(entries []dragonflypass.ServerEntry) time.Duration {
+	var shortest time.Duration
+	found := false
+	for _, entry := range entries {
+		if e.Leaving(entry.ID, entry.Address) {
+			continue
+		}
+		if wait := e.Deferred(entry.ID); !found || wait < shortest {
+			shortest, found = wait, true
+		}
+	}
+	return shortest
 }
 
 // ExcludedServers returns the servers of the service that may receive no new request, sorted by identifier.
@@ -154,20 +211,24 @@
 	return instances
 }
 
-// Sweep removes the notices of instances that have not been listed for some time.
+// Sweep removes the notices whose time has ended, and those of instances that have not been listed for some time.
 func (e *Excluder) Sweep(context.Context) {
 	now := e.Timer.Now()
 	e.mutex.Lock()
 	defer e.mutex.Unlock()
 	for id, r := range e.records {
-		entry, listed := e.Servers.Server(id)
 		switch {
-		case listed && InstanceOf(entry) == r.instance:
+		case now.Before(r.deferredUntil):
+		case !r.leaving:
+			delete(e.records, id)
+			e.count.Add(-1)
+		case e.listed(r.instance):
 			r.obsoleteSince = time.Time{}
 		case r.obsoleteSince.IsZero():
 			r.obsoleteSince = now
 		case now.Sub(r.obsoleteSince) > retention:
 			delete(e.records, id)
+			e.count.Add(-1)
 		}
 	}
 }
@@ -178,6 +239,8 @@
 	Address   netip.AddrPort
 	StartedAt int64
 	Leaving   bool
+	// DeferredUntil is the end of the time for which the server wants no requests.
+	DeferredUntil time.Time
 }
 
 // State returns what the servers have said, sorted by identifier.
@@ -186,7 +249,7 @@
 	defer e.mutex.Unlock()
 	states := make([]ServerState, 0, len(e.records))
 	for id, r := range e.records {
-		states = append(states, ServerState{Server: id, Address: r.instance.Address, StartedAt: r.instance.StartedAt, Leaving: r.leaving})
+		states = append(states, ServerState{Server: id, Address: r.instance.Address, StartedAt: r.instance.StartedAt, Leaving: r.leaving, DeferredUntil: r.deferredUntil})
 	}
 	slices.SortFunc(states, func(x, y ServerState) int { return cmp.Compare(x.Server, y.Server) })
 	return states
--- a/core/relayer/buffered.go
+++ b/core/relayer/buffered.go
@@ -41,7 +41,7 @@
 			return r.writeResponse(ctx, j, lastResponse)
 		}
 		if !ok {
-			return r.refuse(ctx, j, dragonflypass.ReasonNoServer, defaultRetryAfter, "no backend server of the service is available")
+			return r.refuse(ctx, j, dragonflypass.ReasonNoServer, r.retryAfter(j), "no backend server of the service is available")
 		}
 		var res result
 		for _, res = range r.sendHedged(ctx, j, entry) {
@@ -60,7 +60,7 @@
 		case lastResponse != nil:
 			return r.writeResponse(ctx, j, lastResponse)
 		default:
-			return r.refuse(ctx, j, dragonflypass.ReasonBroken, defaultRetryAfter, "the backend servers did not respond")
+			return r.refuse(ctx, j, dragonflypass.ReasonBroken, r.retryAfter(j), "the backend servers did not respond")
 		}
 	}
 }
--- a/core/relayer/notice.go
+++ b/core/relayer/notice.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"net/netip"
+	"time"
 
 	"github.com/dragonflypass/dragonflypass"
 )
@@ -55,3 +56,9 @@
 	}
 	return servers
 }
+
+// retryAfter returns the retry delay given to the caller if no server was available or the servers failed: at least the
+// time until one of them wants requests again.
+func (r *Relayer) retryAfter(j *job) time.Duration {
+	return max(defaultRetryAfter, r.Excluder.Wait(r.Directory.Servers(j.service)))
+}
--- a/core/relayer/stream.go
+++ b/core/relayer/stream.go
@@ -35,7 +35,7 @@
 		j.abandoned = isAbandonment(err)
 		s.mergeInto(j)
 		if next == nil && !r.shouldTryAnother(ctx, j, err) {
-			return r.refuse(ctx, j, dragonflypass.ReasonBroken, defaultRetryAfter, "the backend servers interrupted the response")
+			return r.refuse(ctx, j, dragonflypass.ReasonBroken, r.retryAfter(j), "the backend servers interrupted the response")
 		}
 		if j.eventCount > 0 {
 			r.Meter.Add(dragonflypass.CountResumed, 1)
@@ -54,6 +54,9 @@
 // refuseWithoutPermit returns the error of an exchange that was not granted a permit.
 func (r *Relayer) refuseWithoutPermit(ctx context.Context, j *job, err error) error {
 	if refusal, ok := dragonflypass.AsRefusal(err); ok {
+		if refusal.Reason == dragonflypass.ReasonNoServer {
+			return r.refuse(ctx, j, refusal.Reason, max(refusal.RetryAfter, r.retryAfter(j)), refusal.Detail)
+		}
 		return r.refuse(ctx, j, refusal.Reason, refusal.RetryAfter, refusal.Detail)
 	}
 	return r.refuse(ctx, j, dragonflypass.ReasonNoServer, defaultRetryAfter, err.Error())
--- a/core/reserver/reserver.go
+++ b/core/reserver/reserver.go
@@ -104,7 +104,7 @@
 	return err
 }
 
-// renew extends the reservations. A failed renewal is only logged: if the reservation expires, its server ends the
+// renew extends the reservations, also at servers that expect no new requests: they are in use. A failed renewal is only logged: if the reservation expires, its server ends the
 // request.
 func (r *Reserver) renew(ctx context.Context, reservations []*reservation) {
 	for _, res := range reservations {
@@ -136,7 +136,11 @@
 	}
 }
 
+// callFree frees the reservation, unless its server wants no requests for now: the reservation then expires by itself.
 func (r *Reserver) callFree(ctx context.Context, res *reservation) error {
+	if r.Excluder.Deferred(res.helper.Server) > 0 {
+		return errExcluded
+	}
 	ctx, cancel := r.Timer.WithDeadline(ctx, r.Timer.Now().Add(callTimeout))
 	defer cancel()
 	r.Meter.Add(dragonflypass.CountReservationOrders, 1)
--- a/exchange.go
+++ b/exchange.go
@@ -93,6 +93,8 @@
 type ServerNotice struct {
 	// Leaving is set when the server is shutting down and expects no new requests.
 	Leaving bool
+	// RetryAfter is the time for which the server wants no requests from this VM, zero if it has not said so.
+	RetryAfter time.Duration
 }
 
 // LoadReport is the load of a plain service's server at the time of a response.
@@ -121,8 +123,6 @@
 	// FaultyHelper is the address of the helper that caused the failure, or the zero value.
 	FaultyHelper netip.AddrPort
 	Notice       ServerNotice
-	// RetryAfter is the time after which the server accepts requests again, zero if not given.
-	RetryAfter time.Duration
 }
 
 // Error returns a one-line description of the refusal.
--- a/internal/fake/backend.go
+++ b/internal/fake/backend.go
@@ -64,6 +64,7 @@
 	reservationCount int
 	running          int
 	notice           dragonflypass.ServerNotice
+	refusalCount     int
 }
 
 // SetFault sets the fault of the server. Running requests are affected only by BackendDown, BackendSilent and BackendDark.
@@ -125,6 +126,13 @@
 	return total
 }
 
+// Refusals returns how many requests the server refused because of BackendRefusing.
+func (b *Backend) Refusals() int {
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+	return b.refusalCount
+}
+
 // ReservationCalls returns how many calls reserved memory at the server or renewed a reservation.
 func (b *Backend) ReservationCalls() int {
 	b.mutex.Lock()
@@ -234,6 +242,9 @@
 	case server.Entry.ID != request.Server:
 		return nil, &dragonflypass.ServerRefusal{Status: http.StatusMisdirectedRequest, Misdirected: true, Notice: server.currentNotice()}
 	case fault == BackendRefusing:
+		server.mutex.Lock()
+		server.refusalCount++
+		server.mutex.Unlock()
 		return nil, &dragonflypass.ServerRefusal{Status: http.StatusServiceUnavailable, Notice: server.currentNotice()}
 	}
 	server.startRequest(request.Exchange.ID)
--- a/metrics.go
+++ b/metrics.go
@@ -52,6 +52,7 @@
 	CountOwnerUnresponsive Counter = "owners_silent"
 	CountServerEjected     Counter = "servers_left_out"
 	CountServerLeaving     Counter = "servers_leaving"
+	CountServerDeferred    Counter = "servers_deferred"
 	CountPermitReturned    Counter = "permits_returned"
 	CountStoreCalls        Counter = "store_calls"
 	CountStoreFailed       Counter = "store_calls_failed"
