Free reservations after a renewal that was in progress at their release

A server could keep memory for up to 3.5 s after its request, or, if it carries a renewal out seconds late, for 3.5 s beginning up to 12 s later.

Cause: the release does not wait for a renewal in progress, which the server may carry out last. Whether its outcome is unknown was checked when the release was answered, before the renewal had timed out, so no further releases followed.

Change: a reservation knows whether it is being renewed. One that is released meanwhile is freed by the renewal when it ends. Trade-off: memory is then freed up to 0.5 s (the time limit of a call) later than before.

--- a/core/reserver/reserver.go
+++ b/core/reserver/reserver.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"sync/atomic"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -43,13 +42,6 @@
 // errExcluded is the error of a reservation at a server that expects no new requests.
 var errExcluded = eris.New("reserver: the server expects no new requests")
 
-// reservation is the memory reserved at one helper.
-type reservation struct {
-	helper dragonflypass.Helper
-	// uncertain is set once the outcome of a call about the reservation is unknown.
-	uncertain atomic.Bool
-}
-
 // Reserve reserves the memory that the helpers name, either all of it or none, and renews the reservations until
 // free is called. On an error, failedHelper is the helper whose memory could not be reserved.
 func (r *Reserver) Reserve(ctx context.Context, helpers []dragonflypass.Helper) (free func(), failedHelper dragonflypass.Helper, err error) {
@@ -70,7 +62,7 @@
 	if len(reservations) == 0 {
 		return func() {}, failedHelper, nil
 	}
-	stop := r.Timer.Every(dragonflypass.JobOrder, renewInterval, func(ctx context.Context) { r.renew(ctx, reservations) })
+	stop := r.Timer.Every(dragonflypass.JobOrder, renewInterval, func(ctx context.Context) { r.renewAll(ctx, reservations) })
 	return func() {
 		stop()
 		r.freeAll(reservations)
@@ -104,23 +96,41 @@
 	return err
 }
 
-// renew extends the reservations, also at servers that expect no new requests: they are in use. A failed renewal is only logged: if the reservation expires, its server ends the
-// request.
-func (r *Reserver) renew(ctx context.Context, reservations []*reservation) {
+// renewAll extends the reservations, also at servers that expect no new requests: they are in use. A failed renewal is only
+// logged: if the reservation expires, its server ends the request.
+func (r *Reserver) renewAll(ctx context.Context, reservations []*reservation) {
 	for _, res := range reservations {
-		if err := r.reserve(ctx, res); err != nil {
-			r.Logger.Info("reservation not renewed", "server", res.helper.Server, "name", res.helper.Reservation, "error", err)
-		}
+		r.renew(ctx, res)
+	}
+}
+
+// renew extends the reservation unless it has been freed. If it is freed meanwhile, the server may carry out the renewal
+// last, so the reservation is freed afterwards.
+func (r *Reserver) renew(ctx context.Context, res *reservation) {
+	if !res.state.CompareAndSwap(stateHeld, stateRenewing) {
+		return
+	}
+	if err := r.reserve(ctx, res); err != nil {
+		r.Logger.Info("reservation not renewed", "server", res.helper.Server, "name", res.helper.Reservation, "error", err)
+	}
+	if !res.state.CompareAndSwap(stateRenewing, stateHeld) {
+		r.submitFree(res)
 	}
 }
 
 // freeAll frees the reservations on the worker pool.
 func (r *Reserver) freeAll(reservations []*reservation) {
 	for _, res := range reservations {
-		r.Pool.Submit(dragonflypass.JobCancel, func(ctx context.Context) { r.free(ctx, res) })
+		if res.state.Swap(stateFreed) == stateHeld {
+			r.submitFree(res)
+		}
 	}
 }
 
+func (r *Reserver) submitFree(res *reservation) {
+	r.Pool.Submit(dragonflypass.JobCancel, func(ctx context.Context) { r.free(ctx, res) })
+}
+
 // free frees the reservation. If that fails or the outcome of an earlier call is unknown, it schedules further
 // attempts.
 func (r *Reserver) free(ctx context.Context, res *reservation) {
