Free reserved memory that a hanging server never uses

Callers saw a late timeout.

Cause: a prompt that is larger than one server is sent to a server that accepts it and never begins it. An attempt counts as stalled only half a latency objective (4 s) after its predicted first event (6 to 12 s), and not at all if no other server may be tried; then it waits until its deadline (15 s). The server still accepts connections, so the probe of servers with reserved memory does not show it.

If the report names the reservation and no request uses it for 3 s, the attempt ends and another server is tried, under the same conditions as for a stalled attempt. If no other may be tried, only the memory is freed: the request keeps waiting, and its server refuses it as not executed if it begins it after all. A report that is missing or does not name the reservation proves nothing.

Ruled out as causes: reservations renewed after their release, releases that fail, and foreign responses taken for that of a release: the streams were still open in all of the cases.

Test: TestRelayFreesMemoryThatHangingServerNeverUses. Before: 49,040 tokens reserved five seconds after the start, where none are wanted, on both routes.

--- a/core/composer/start_test.go
+++ b/core/composer/start_test.go
@@ -44,6 +44,48 @@
 	})
 }
 
+// TestRelayFreesMemoryThatHangingServerNeverUses sends a prompt that is larger than one server to a server that accepts it
+// and never begins it. The memory at its helpers must be free within five seconds, and another server must serve the prompt
+// if it may be tried.
+func TestRelayFreesMemoryThatHangingServerNeverUses(t *testing.T) {
+	for _, test := range []struct {
+		path     string
+		complete bool
+	}{{path: "/stream/x", complete: true}, {path: "/single/x"}} {
+		t.Run(test.path, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				c := qt.New(t)
+				s := fake.NewRelaySite(t.Context(), 3, 1, 6)
+				s.Timeout, s.Objective = 40*time.Second, 20*time.Second
+				s.Start()
+				for _, b := range s.ModelServers {
+					b.SetFault(fake.BackendSilent)
+				}
+				e := fake.NewExchange("large", test.path, 450_000)
+				e.Deadline = e.Arrived.Add(s.Timeout)
+				answer := make(chan *fake.ResponseRecorder, 1)
+				go func() { answer <- s.Send(0, e) }()
+				time.Sleep(2 * time.Second)
+				var reserving []*fake.Backend
+				for _, b := range s.ModelServers {
+					if b.Running() == 0 {
+						b.SetFault(fake.BackendHealthy)
+					}
+					if b.Reserved() > 0 {
+						reserving = append(reserving, b)
+					}
+				}
+				c.Assert(len(reserving) > 0, qt.IsTrue)
+				time.Sleep(3 * time.Second)
+				for _, b := range reserving {
+					c.Check(b.Reserved(), qt.Equals, 0, qt.Commentf("%s", b.Entry.ID))
+				}
+				c.Check((<-answer).Complete(20), qt.Equals, test.complete)
+			})
+		})
+	}
+}
+
 // TestRelayWaitsForRoutingAfterStart sends requests to a VM at the moment of its start. They must wait until it has read
 // the route table and the registry, and not be refused.
 func TestRelayWaitsForRoutingAfterStart(t *testing.T) {
--- a/core/relayer/attempt.go
+++ b/core/relayer/attempt.go
@@ -49,7 +49,7 @@
 // sendStream reserves the memory at the helpers, sends the request and waits for the head of the response. It counts the attempt
 // or the refusal.
 func (r *Relayer) sendStream(a *attempt, j *job) error {
-	freeMemory, failedHelper, err := r.Reserver.Reserve(a.ctx, a.permit.Helpers)
+	freeMemory, failedHelper, err := r.Reserver.Reserve(a.ctx, a.permit.Helpers, a.open.prefilled.Load, func() { r.replaceUnbegun(a.open) })
 	if err != nil {
 		return eris.Wrapf(dragonflypass.ErrRefused, "no memory reserved at %s: %v", failedHelper.Server, err)
 	}
--- a/core/relayer/open.go
+++ b/core/relayer/open.go
@@ -207,6 +207,19 @@
 	return !open.lastAttempt && r.Budgets.Balance(open.stream.Service) >= 1
 }
 
+// replaceUnbegun ends the attempt, whose server has not begun it, or starts the preparation of its successor, if another
+// server may be tried. Otherwise the attempt waits without reserved memory, and its server refuses it if it begins it after all.
+func (r *Relayer) replaceUnbegun(open *openStream) {
+	s := open.succession.Load()
+	switch {
+	case !r.replaceable(open):
+	case !open.headWritten.Load():
+		open.cancel(errStalled)
+	case s != nil:
+		s.start()
+	}
+}
+
 // StreamState is an open stream in a state dump.
 type StreamState struct {
 	Stream    dragonflypass.StreamID
--- a/core/reserver/reserver.go
+++ b/core/reserver/reserver.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"slices"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -19,6 +20,9 @@
 	renewInterval = 1200 * time.Millisecond
 	// callTimeout is the timeout of one call to a server.
 	callTimeout = 500 * time.Millisecond
+	// unusedLimit is the time after which memory that the request has not begun to use is freed. A request is sent to a
+	// server that can begin it at once; if a server that it depends on is gone, it is refused within two seconds.
+	unusedLimit = 3 * time.Second
 )
 
 // freeRetryDelays are the delays, from the first attempt to free a reservation, after which further attempts are made.
@@ -43,29 +47,32 @@
 var errExcluded = eris.New("reserver: the server expects no new requests")
 
 // Reserve reserves the memory that the helpers name, either all of it or none, and renews the reservations until
-// free is called. On an error, failedHelper is the helper whose memory could not be reserved.
-func (r *Reserver) Reserve(ctx context.Context, helpers []dragonflypass.Helper) (free func(), failedHelper dragonflypass.Helper, err error) {
-	var reservations []*reservation
-	for _, h := range helpers {
-		if h.Reservation == "" {
+// free is called. If the request does not begin to use the memory for unusedLimit, Reserve calls unused and frees it; it
+// does so no more once prefilled reports that the request has been processed. On an error, failedHelper is the helper whose
+// memory could not be reserved.
+func (r *Reserver) Reserve(ctx context.Context, helpers []dragonflypass.Helper, prefilled func() bool, unused func()) (free func(), failedHelper dragonflypass.Helper, err error) {
+	h := &hold{prefilled: prefilled, unused: unused}
+	for _, helper := range helpers {
+		if helper.Reservation == "" {
 			continue
 		}
-		res := &reservation{helper: h}
-		reservations = append(reservations, res)
+		res := &reservation{helper: helper}
+		h.reservations = append(h.reservations, res)
 		if err := r.reserveNew(ctx, res); err != nil {
 			r.Meter.Add(dragonflypass.CountReservationFailed, 1)
-			r.Logger.Info("reservation failed", "server", h.Server, "name", h.Reservation, "tokens", h.Tokens, "error", err)
-			r.freeAll(reservations)
-			return nil, h, err
+			r.Logger.Info("reservation failed", "server", helper.Server, "name", helper.Reservation, "tokens", helper.Tokens, "error", err)
+			r.freeAll(h)
+			return nil, helper, err
 		}
 	}
-	if len(reservations) == 0 {
+	if len(h.reservations) == 0 {
 		return func() {}, failedHelper, nil
 	}
-	stop := r.Timer.Every(dragonflypass.JobOrder, renewInterval, func(ctx context.Context) { r.renewAll(ctx, reservations) })
+	h.lastUsed = r.Timer.Now()
+	stop := r.Timer.Every(dragonflypass.JobOrder, renewInterval, func(ctx context.Context) { r.renewAll(ctx, h) })
 	return func() {
 		stop()
-		r.freeAll(reservations)
+		r.freeAll(h)
 	}, failedHelper, nil
 }
 
@@ -96,10 +103,19 @@
 	return err
 }
 
-// renewAll extends the reservations, also at servers that expect no new requests: they are in use. A failed renewal is only
-// logged: if the reservation expires, its server ends the request.
-func (r *Reserver) renewAll(ctx context.Context, reservations []*reservation) {
-	for _, res := range reservations {
+// renewAll extends the reservations, also at servers that expect no new requests, or frees them if the request has not begun
+// to use the memory. A failed renewal is only logged: if the reservation expires, its server ends the request.
+func (r *Reserver) renewAll(ctx context.Context, h *hold) {
+	if h.freed() {
+		return
+	}
+	if r.remainsUnused(ctx, h) {
+		r.Logger.Info("reserved memory unused", "server", h.reservations[0].helper.Server, "name", h.reservations[0].helper.Reservation, "span", r.Timer.Now().Sub(h.lastUsed))
+		h.unused()
+		r.freeAll(h)
+		return
+	}
+	for _, res := range h.reservations {
 		r.renew(ctx, res)
 	}
 }
@@ -118,9 +134,44 @@
 	}
 }
 
-// freeAll frees the reservations on the worker pool.
-func (r *Reserver) freeAll(reservations []*reservation) {
+// remainsUnused reports whether the request has not begun to use the memory for unusedLimit, by the reports of the helpers.
+func (r *Reserver) remainsUnused(ctx context.Context, h *hold) bool {
+	if h.prefilled() {
+		return false
+	}
+	now := r.Timer.Now()
+	switch r.use(ctx, h.reservations) {
+	case useUnknown:
+		return false
+	case useBegun:
+		h.lastUsed = now
+	}
+	return now.Sub(h.lastUsed) >= unusedLimit && !h.prefilled()
+}
+
+// use returns whether a request uses any of the reservations.
+func (r *Reserver) use(ctx context.Context, reservations []*reservation) use {
+	ctx, cancel := r.Timer.WithDeadline(ctx, r.Timer.Now().Add(callTimeout))
+	defer cancel()
 	for _, res := range reservations {
+		usage, err := r.Backend.Usage(ctx, res.helper.Address)
+		if err != nil {
+			return useUnknown
+		}
+		i := slices.IndexFunc(usage.Reservations, func(u dragonflypass.ReservationUsage) bool { return u.Name == res.helper.Reservation })
+		switch {
+		case i < 0:
+			return useUnknown
+		case usage.Reservations[i].InUse:
+			return useBegun
+		}
+	}
+	return useNone
+}
+
+// freeAll frees the reservations on the worker pool.
+func (r *Reserver) freeAll(h *hold) {
+	for _, res := range h.reservations {
 		if res.state.Swap(stateFreed) == stateHeld {
 			r.submitFree(res)
 		}
--- a/core/reserver/reserver_test.go
+++ b/core/reserver/reserver_test.go
@@ -73,7 +73,8 @@
 				x := excluder.New()
 				x.Timer, x.Servers, x.Meter, x.Logger = clock, registrar.New(), meter, fake.Logger{}
 				r := &reserver.Reserver{Timer: clock, Pool: pool, Backend: server, Meter: meter, Logger: fake.Logger{}, Excluder: x}
-				free, _, err := r.Reserve(ctx, []dragonflypass.Helper{{Reservation: "large", Tokens: 9000}})
+				prefilled := func() bool { return true }
+				free, _, err := r.Reserve(ctx, []dragonflypass.Helper{{Reservation: "large", Tokens: 9000}}, prefilled, func() {})
 				c.Assert(err, qt.IsNil)
 				time.Sleep(1300 * time.Millisecond)
 				synctest.Wait()
--- a/internal/fake/backend.go
+++ b/internal/fake/backend.go
@@ -65,6 +65,8 @@
 	running          int
 	notice           dragonflypass.ServerNotice
 	refusalCount     int
+	// users holds the server that generates the answer of the request for which memory is reserved, by reservation.
+	users map[string]*Backend
 }
 
 // SetFault sets the fault of the server. Running requests are affected only by BackendDown, BackendSilent and BackendDark.
@@ -248,7 +250,9 @@
 		return nil, &dragonflypass.ServerRefusal{Status: http.StatusServiceUnavailable, Notice: server.currentNotice()}
 	}
 	server.startRequest(request.Exchange.ID)
+	b.setUser(request.Helpers, server)
 	r := &backendResponse{ctx: ctx, server: server, fault: fault, start: time.Now(), stream: request.EventStream}
+	r.onClose = func() { b.setUser(request.Helpers, nil) }
 	r.head = dragonflypass.ResponseHead{Status: http.StatusOK, Signed: fault != BackendUnsigned, EventStream: r.stream}
 	if fault == BackendFailing {
 		r.head.Status, r.stream, r.head.EventStream = http.StatusInternalServerError, false, false
@@ -286,13 +290,48 @@
 	return err
 }
 
+// setUser records the server that generates the answer of the request for which the helpers reserve memory, nil at its end.
+func (b *Backends) setUser(helpers []dragonflypass.Helper, user *Backend) {
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+	for _, h := range helpers {
+		if server := b.servers[h.Address]; server != nil && h.Reservation != "" {
+			server.mutex.Lock()
+			if server.users == nil {
+				server.users = make(map[string]*Backend)
+			}
+			server.users[h.Reservation] = user
+			server.mutex.Unlock()
+		}
+	}
+}
+
+// reservationUsage returns the reservations. They are in use once the server that generates the answer has begun the
+// request, which a silent one has not.
+func (b *Backend) reservationUsage() (list []dragonflypass.ReservationUsage) {
+	b.mutex.Lock()
+	reservations, users := maps.Clone(b.reservations), maps.Clone(b.users)
+	b.mutex.Unlock()
+	for name, tokens := range reservations {
+		usage := dragonflypass.ReservationUsage{Name: name, Tokens: tokens}
+		if user := users[name]; user != nil {
+			fault, _ := user.state()
+			usage.InUse = fault != BackendSilent
+		}
+		list = append(list, usage)
+	}
+	return list
+}
+
 // Usage returns the current running requests and reserved memory, with a slowdown of 1. Unlike those of real servers, these values are never out of date.
 func (b *Backends) Usage(ctx context.Context, address netip.AddrPort) (dragonflypass.ServerUsage, error) {
 	server, err := b.connect(ctx, address)
 	if err != nil {
 		return dragonflypass.ServerUsage{}, err
 	}
-	return dragonflypass.ServerUsage{Running: server.Running(), Used: server.Reserved(), Slowdown: 1, Notice: server.currentNotice()}, nil
+	return dragonflypass.ServerUsage{
+		Running: server.Running(), Used: server.Reserved(), Slowdown: 1, Reservations: server.reservationUsage(), Notice: server.currentNotice(),
+	}, nil
 }
 
 // Reserve reserves memory, or renews the reservation, without checking that the memory is free.
@@ -335,6 +374,7 @@
 	lastEvent  int
 	sentEvents int
 	closed     bool
+	onClose    func()
 }
 
 // Head returns the head of the response.
@@ -369,5 +409,6 @@
 	if !r.closed {
 		r.closed = true
 		r.server.endRequest()
+		r.onClose()
 	}
 }
--- a/internal/fake/relaysite.go
+++ b/internal/fake/relaysite.go
@@ -33,8 +33,9 @@
 	ModelServers []*Backend
 	Nodes        []*RelayNode
 	Context      context.Context
-	// Timeout is the timeout of the standard routes.
-	Timeout time.Duration
+	// Timeout is the timeout of the standard routes, and Objective their latency objective.
+	Timeout   time.Duration
+	Objective time.Duration
 	// Options changes the options of each node before the node starts; nil leaves the defaults.
 	Options func(*composer.RelayOptions)
 
@@ -66,7 +67,7 @@
 func NewRelaySite(ctx context.Context, nodes, plainServers, modelServers int) *RelaySite {
 	s := &RelaySite{
 		Store: NewStore(), Network: NewNetwork(), Backends: NewBackends(), Nodes: make([]*RelayNode, nodes), Context: ctx, start: time.Now(),
-		Timeout: 10 * time.Second,
+		Timeout: 10 * time.Second, Objective: 200 * time.Millisecond,
 	}
 	for i := range plainServers {
 		s.PlainServers = append(s.PlainServers, s.addServer(RelayPlainService, i, 1))
@@ -118,7 +119,7 @@
 	s.version += 3
 	route := func(prefix string, kind dragonflypass.RouteKind, service dragonflypass.ServiceID, attempts int) *dragonflypass.RoutePolicy {
 		return &dragonflypass.RoutePolicy{
-			Name: prefix, Host: RelayHost, Prefix: prefix, Kind: kind, MaxAttempts: attempts, Timeout: s.Timeout, LatencyObjective: 200 * time.Millisecond,
+			Name: prefix, Host: RelayHost, Prefix: prefix, Kind: kind, MaxAttempts: attempts, Timeout: s.Timeout, LatencyObjective: s.Objective,
 			Backends: []dragonflypass.WeightedService{{Service: service, Weight: 1}},
 		}
 	}
--- a/server.go
+++ b/server.go
@@ -173,4 +173,6 @@
 	Name   string
 	Tokens int
 	Age    time.Duration
+	// InUse is set while a request uses the memory.
+	InUse bool
 }
