Keep requests of live VMs queued at owners that hear nothing else

What was seen: long prompts refused after four seconds, with 8 to 10 s left: "cancelled (ran: not): no heartbeats from the entry VM of the request", though the VM lived and its caller waited. By the code, a stream that has begun would be cut off in the same way; that was not seen.

Cause: an owner drops the queued requests of a VM from which it has had no heartbeat for four seconds. In a fleet of more than 17 VMs, a VM sends heartbeats to hubs and to the owners of its open streams, not to an owner that it only asks for a permit.

Change: an owner at which a permit request has been waiting for a second receives heartbeats too. Requests that are granted sooner cost none.

Test: TestRelayWaitsLongForOwnerInLargeFleet, 24 VMs. Before: "VM 22: cancelled (ran: not): no heartbeats from the entry VM of the request", and others.

--- a/core/acquirer/acquirer.go
+++ b/core/acquirer/acquirer.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -17,6 +18,9 @@
 	ownerAttempts = 3
 	// callTimeout limits one call to an owner.
 	callTimeout = time.Second
+	// shortWait is how long a permit request waits at its owner before the owner is listed in AwaitedOwners. It is well
+	// below the time after which the owner drops the queued requests of a VM that sends no heartbeats.
+	shortWait = time.Second
 	// releaseAttempts is the number of attempts to release a permit. If all fail, the permit expires at its owner.
 	releaseAttempts = 3
 )
@@ -53,11 +57,50 @@
 	mutex locker.Mutex
 	// skipUntil holds the time until which an owner is skipped.
 	skipUntil map[dragonflypass.VMID]time.Time
+	// awaited holds the permit requests that are in progress at other VMs.
+	awaited map[dragonflypass.StreamID]awaitedOwner
+}
+
+// awaitedOwner is the owner from which a permit has been requested, and the time of the request.
+type awaitedOwner struct {
+	owner dragonflypass.VMID
+	since time.Time
 }
 
 // New returns an acquirer that considers all owners available.
 func New() *Acquirer {
-	return &Acquirer{mutex: locker.Mutex{Order: locker.Queues}, skipUntil: make(map[dragonflypass.VMID]time.Time)}
+	return &Acquirer{
+		mutex: locker.Mutex{Order: locker.Queues}, skipUntil: make(map[dragonflypass.VMID]time.Time),
+		awaited: make(map[dragonflypass.StreamID]awaitedOwner),
+	}
+}
+
+// AwaitedOwners returns the other VMs at which permit requests of this one have been waiting for some time. They must
+// receive heartbeats: an owner drops the queued requests of a VM from which it hears nothing.
+func (a *Acquirer) AwaitedOwners() []dragonflypass.VMID {
+	now := a.Timer.Now()
+	a.mutex.Lock()
+	defer a.mutex.Unlock()
+	var owners []dragonflypass.VMID
+	for _, w := range a.awaited {
+		if now.Sub(w.since) >= shortWait && !slices.Contains(owners, w.owner) {
+			owners = append(owners, w.owner)
+		}
+	}
+	return owners
+}
+
+// await records that a permit has been requested from the owner; stop removes the record.
+func (a *Acquirer) await(stream dragonflypass.StreamID, owner dragonflypass.VMID) (stop func()) {
+	now := a.Timer.Now()
+	a.mutex.Lock()
+	defer a.mutex.Unlock()
+	a.awaited[stream] = awaitedOwner{owner: owner, since: now}
+	return func() {
+		a.mutex.Lock()
+		defer a.mutex.Unlock()
+		delete(a.awaited, stream)
+	}
 }
 
 // available reports whether permits may be requested from the owner.
@@ -134,6 +177,7 @@
 func (a *Acquirer) acquireRemote(ctx context.Context, owner dragonflypass.VM, request dragonflypass.PermitRequest) (dragonflypass.Permit, error) {
 	ctx, stop := a.Members.AliveContext(ctx, owner.ID)
 	defer stop()
+	defer a.await(request.Stream, owner.ID)()
 	permit, err := a.Peers.Acquire(ctx, owner, request)
 	if err != nil && ctx.Err() != nil {
 		return permit, errOwnerUnresponsive
--- a/core/composer/relay.go
+++ b/core/composer/relay.go
@@ -150,7 +150,7 @@
 	d.Timer, d.Pool, d.Peers, d.Directory = p.Timer, p.Pool, p.Peers, p.Directory
 	d.Meter, d.Logger = p.Meter, p.Logger
 	d.HeartbeatInterval, d.MemberPollInterval, d.Topology = o.HeartbeatInterval, memberPollInterval, connector.Connector{}
-	d.Partners = func() []dragonflypass.VMID { return n.Relayer.OpenOwners() }
+	d.Partners = func() []dragonflypass.VMID { return append(n.Relayer.OpenOwners(), n.Acquirer.AwaitedOwners()...) }
 	d.ConfigOffset = func() dragonflypass.Offset { return 0 }
 	d.Loads = func() []dragonflypass.ServerLoad { return nil }
 	d.OpenStreams = func(owner dragonflypass.VMID) ([]uint64, []dragonflypass.OpenStream) {
--- a/core/composer/start_test.go
+++ b/core/composer/start_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"fmt"
+	"strconv"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -86,6 +88,24 @@
 	}
 }
 
+// TestRelayWaitsLongForOwnerInLargeFleet has each VM of a large fleet send a prompt, which together do not fit into the only
+// server. The last ones are queued for longer than the owner keeps the requests of a VM that has failed, and must stay queued.
+func TestRelayWaitsLongForOwnerInLargeFleet(t *testing.T) {
+	withRelaySite(t, 24, 1, 1, func(c *qt.C, s *fake.RelaySite) {
+		s.ModelServers[0].TimeToFirstChunk = 8 * time.Second
+		var answers sync.WaitGroup
+		for i := range s.Nodes {
+			answers.Go(func() {
+				e := fake.NewExchange(strconv.Itoa(i), "/single/x", 40_000)
+				got := s.Send(i, e)
+				c.Check(refusalReason(got.Err), qt.Not(qt.Equals), dragonflypass.ReasonCancelled, qt.Commentf("VM %d: %v", i, got.Err))
+			})
+		}
+		answers.Wait()
+		checkNothingReserved(c, s)
+	})
+}
+
 // TestRelayWaitsForRoutingAfterStart sends requests to a VM at the moment of its start. They must wait until it has read
 // the route table and the registry, and not be refused.
 func TestRelayWaitsForRoutingAfterStart(t *testing.T) {
