Let VMs that started together agree on who may take over

After a common start of 60 VMs, the store got 83 to 106 calls in 10 s with eight processors and 70 with one (144 were seen once; the test allows 119). All calls beyond those of the readers fell into the same instant, five seconds after the start: up to 60 VMs read each topic once.

At that time each VM becomes eligible to take over. It knows this of itself at once and of the others only when their announcements arrive. Until then it preferred itself for every duty: it was a hub, the reader of each topic and the owner of each shard. How many VMs read depended on whether their poll, due at the same instant, ran before the announcements, and so on the number of processors. With real clocks the window is the time that an announcement takes.

elector.Order now concludes from a VM that may take over that one which started up to a second earlier may do so too. All VMs with the same start then have the same order throughout. The limit keeps a clock that is ahead from making every VM eligible.

TestVMsStartedTogetherAgreeOnDuties failed before: a VM not heard from was placed behind all others.

--- a/core/elector/elector.go
+++ b/core/elector/elector.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"slices"
+	"time"
 
 	"github.com/cespare/xxhash/v2"
 
@@ -17,6 +18,8 @@
 	largeVMShare = 0.5
 	// hubKey is the key by which the hubs are selected.
 	hubKey = "hub"
+	// announcementTime is the time within which the other VMs usually learn that a VM may take over from others.
+	announcementTime = time.Second
 )
 
 // Score returns the rendezvous hashing score of the VM for the key.
@@ -31,15 +34,17 @@
 
 // Order returns the members in the order in which they are preferred for the duty that the key names: live VMs first, of
 // these the ones that may take over from others, and of these the large ones. Equal ones are ordered by rendezvous
-// hashing, and VMs that have just started by the time of their start.
+// hashing, and VMs that have just started by the time of their start. VMs that started together may take over at the same
+// time: each of them knows this of itself before it hears it from the others.
 func Order(key string, members []dragonflypass.Member) []dragonflypass.Member {
 	largest := 0.0
 	for i := range members {
 		largest = max(largest, members[i].VM.Processors)
 	}
+	starts := eligibleStarts(members)
 	candidates := make([]candidate, len(members))
 	for i := range members {
-		candidates[i] = newCandidate(key, &members[i], largest)
+		candidates[i] = newCandidate(key, &members[i], largest, starts)
 	}
 	slices.SortFunc(candidates, candidate.compare)
 	ordered := make([]dragonflypass.Member, len(members))
@@ -49,6 +54,28 @@
 	return ordered
 }
 
+// eligibleStarts returns the incarnations of the members that are known to be able to take over, in ascending order.
+func eligibleStarts(members []dragonflypass.Member) []uint64 {
+	var starts []uint64
+	for i := range members {
+		if members[i].VM.TakeoverEligible {
+			starts = append(starts, members[i].Incarnation)
+		}
+	}
+	slices.Sort(starts)
+	return starts
+}
+
+// mayTakeOver reports whether the member may take over from others: it has announced it, or a VM that started shortly after
+// it has. The starts are those that eligibleStarts returns.
+func mayTakeOver(m *dragonflypass.Member, starts []uint64) bool {
+	if m.VM.TakeoverEligible {
+		return true
+	}
+	next, _ := slices.BinarySearch(starts, m.Incarnation)
+	return next < len(starts) && starts[next]-m.Incarnation <= uint64(announcementTime)
+}
+
 // candidate is a member with the properties by which candidates are ordered.
 type candidate struct {
 	member *dragonflypass.Member
@@ -70,7 +97,7 @@
 	classGone
 )
 
-func newCandidate(key string, m *dragonflypass.Member, largest float64) candidate {
+func newCandidate(key string, m *dragonflypass.Member, largest float64, starts []uint64) candidate {
 	c := candidate{member: m, class: classLarge, score: Score(key, m.VM.ID)}
 	switch {
 	case m.State == dragonflypass.MemberGone:
@@ -81,7 +108,7 @@
 		return c
 	case m.State == dragonflypass.MemberSuspect:
 		c.class = classSilentLarge
-	case !m.VM.TakeoverEligible:
+	case !mayTakeOver(m, starts):
 		c.class = classStartingLarge
 	}
 	if m.VM.Processors < largeVMShare*largest {
--- a/core/elector/elector_test.go
+++ b/core/elector/elector_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"testing"
+	"time"
 
 	qt "github.com/frankban/quicktest"
 
@@ -50,11 +51,39 @@
 	members[2].State = dragonflypass.MemberSuspect
 	members[4].VM.TakeoverEligible = false
 	members[5].VM.TakeoverEligible = false
-	var order []dragonflypass.VMID
-	for _, m := range elector.Order("duty", members) {
-		order = append(order, m.VM.ID)
+	c.Check(order("duty", members), qt.DeepEquals, []dragonflypass.VMID{"vm-4", "vm-5", "vm-6", "vm-3", "vm-2", "vm-1"})
+}
+
+// order returns the identifiers of the members in the order for the duty.
+func order(duty string, members []dragonflypass.Member) (ids []dragonflypass.VMID) {
+	for _, m := range elector.Order(duty, members) {
+		ids = append(ids, m.VM.ID)
+	}
+	return ids
+}
+
+// TestVMsStartedTogetherAgreeOnDuties orders VMs that may take over since the same time, some of which have not yet said so.
+func TestVMsStartedTogetherAgreeOnDuties(t *testing.T) {
+	c := qt.New(t)
+	const fleet = 20
+	start := uint64(time.Hour)
+	for _, gap := range []time.Duration{0, time.Millisecond} {
+		var members []dragonflypass.Member
+		for i := range fleet {
+			m := vm(i, "a", 0.5)
+			m.Incarnation = start + uint64(i)*uint64(gap)
+			members = append(members, m)
+		}
+		late := vm(fleet, "a", 0.5)
+		late.Incarnation, late.VM.TakeoverEligible = start+uint64(time.Minute), false
+		members = append(members, late)
+		all := order("duty", members)
+		c.Check(all[fleet], qt.Equals, late.VM.ID)
+		for unheard := range fleet - 1 {
+			members[unheard].VM.TakeoverEligible = false
+			c.Check(order("duty", members), qt.DeepEquals, all, qt.Commentf("%d VMs not heard from, gap %s", unheard+1, gap))
+		}
 	}
-	c.Check(order, qt.DeepEquals, []dragonflypass.VMID{"vm-4", "vm-5", "vm-6", "vm-3", "vm-2", "vm-1"})
 }
 
 // TestPartialKnowledgeYieldsTheSameHubs checks that a VM which only knows the hubs of its zone selects the same ones as a
--- a/vm.go
+++ b/vm.go
@@ -43,7 +43,8 @@
 
 // Member is an entry VM as seen by another one.
 type Member struct {
-	VM          VM
+	VM VM
+	// Incarnation is the time at which the VM's process started, in nanoseconds since 1970.
 	Incarnation uint64
 	State       MemberState
 	// LastHeartbeat is the time of the last heartbeat from the VM, zero if there was none.
