Stay in contact with silent hubs, so that parts of a fleet meet again

After a burst that made heartbeats late, the hubs of a large fleet and its other VMs stayed apart: the nine hubs knew only each other as live, took the fleet for a small one of ten VMs, and the other VMs had chosen hubs among themselves. Nobody sent a heartbeat across, as a silent VM is a neighbour only while too few are live, and a hub sends none to its zone. Both parts had readers and owners of their own.

The topology now also names the silent VMs that would be hubs if they were live, and the detector contacts them at every fourth interval. A hub that answers is live again and is chosen by all.

TestPartsOfTheFleetMeetAgain does not compile on the earlier code.

--- a/core/connector/connector.go
+++ b/core/connector/connector.go
@@ -49,6 +49,11 @@
 			selection.Neighbours = appendOthers(selection.Neighbours, self, zoneHubs)
 		}
 	}
+	for _, m := range elector.SilentHubs(others) {
+		if m.VM.Zone == self.VM.Zone || isHub[self.VM.ID] {
+			selection.Silent = append(selection.Silent, m.VM.ID)
+		}
+	}
 	slices.Sort(selection.Neighbours)
 	selection.Audience = selection.Neighbours
 	if isHub[self.VM.ID] {
--- a/core/connector/connector_test.go
+++ b/core/connector/connector_test.go
@@ -63,6 +63,36 @@
 	c.Check(informed, qt.HasLen, len(members))
 }
 
+// TestPartsOfTheFleetMeetAgain lets every VM regard the hubs of the zones as silent. They must stay in contact with them.
+func TestPartsOfTheFleetMeetAgain(t *testing.T) {
+	c := qt.New(t)
+	members := fleet(100)
+	for i := range members {
+		members[i].Incarnation = 1
+	}
+	isHub := make(map[dragonflypass.VMID]bool)
+	for _, hub := range elector.Hubs(members)["z-0"] {
+		isHub[hub.VM.ID] = true
+	}
+	var silent []dragonflypass.Member
+	for _, m := range members {
+		if isHub[m.VM.ID] {
+			m.State = dragonflypass.MemberGone
+		}
+		silent = append(silent, m)
+	}
+	for i, self := range silent {
+		if self.VM.Zone != "z-0" || isHub[self.VM.ID] {
+			continue
+		}
+		selection := connector.Connector{}.Select(self, without(silent, i), len(silent))
+		for hub := range isHub {
+			c.Check(slices.Contains(selection.Silent, hub), qt.IsTrue, qt.Commentf("%s does not contact %s", self.VM.ID, hub))
+			c.Check(slices.Contains(selection.Neighbours, hub), qt.IsFalse)
+		}
+	}
+}
+
 func TestSmallFleetsAreMeshed(t *testing.T) {
 	c := qt.New(t)
 	members := fleet(10)
--- a/core/detector/detector.go
+++ b/core/detector/detector.go
@@ -23,6 +23,8 @@
 	// reportedFactor multiplies the limits on the silence of a VM whose state other VMs report: a report passes through up
 	// to two of them.
 	reportedFactor = 2
+	// silentFactor multiplies the interval between the heartbeats to a silent VM that is no neighbour.
+	silentFactor = 4
 	// takeoverDelay is the uptime from which a VM may take over from other VMs. It exceeds the time
 	// that one VM needs to restart, so that in a rolling restart no VM hands over to one that has just started.
 	takeoverDelay = 5 * time.Second
--- a/core/detector/exchange.go
+++ b/core/detector/exchange.go
@@ -97,15 +97,21 @@
 func (d *Detector) dueNeighbours(now time.Time, partners []dragonflypass.VMID) []dragonflypass.VM {
 	interval := d.interval()
 	var due []dragonflypass.VM
-	for _, id := range append(slices.Clone(d.selected().Neighbours), partners...) {
+	add := func(id dragonflypass.VMID, interval time.Duration) {
 		m, ok := d.members[id]
 		if !ok || m.heartbeatInFlight || now.Sub(m.lastContact) < interval {
-			continue
+			return
 		}
 		m.heartbeatInFlight = true
 		m.lastContact = now
 		due = append(due, m.VM)
 	}
+	for _, id := range append(slices.Clone(d.selected().Neighbours), partners...) {
+		add(id, interval)
+	}
+	for _, id := range d.selected().Silent {
+		add(id, silentFactor*interval)
+	}
 	return due
 }
 
--- a/core/elector/elector.go
+++ b/core/elector/elector.go
@@ -140,6 +140,27 @@
 	return zones
 }
 
+// SilentHubs returns the silent members that would be hubs of their zones if they were live. VMs that have never been heard
+// from are left out.
+func SilentHubs(members []dragonflypass.Member) []dragonflypass.Member {
+	silent := make(map[dragonflypass.VMID]bool)
+	var heard []dragonflypass.Member
+	for _, m := range members {
+		if m.State == dragonflypass.MemberSuspect || m.State == dragonflypass.MemberGone {
+			silent[m.VM.ID] = true
+			m.State = dragonflypass.MemberLive
+		}
+		if m.Incarnation != 0 {
+			heard = append(heard, m)
+		}
+	}
+	var hubs []dragonflypass.Member
+	for _, zoneHubs := range Hubs(heard) {
+		hubs = append(hubs, slices.DeleteFunc(zoneHubs, func(m dragonflypass.Member) bool { return !silent[m.VM.ID] })...)
+	}
+	return hubs
+}
+
 // Live returns the members that are live.
 func Live(members []dragonflypass.Member) []dragonflypass.Member {
 	live := make([]dragonflypass.Member, 0, len(members))
--- a/topology.go
+++ b/topology.go
@@ -22,4 +22,7 @@
 	Reported []VMID
 	// ReportTo reports whether a heartbeat to the VM contains the states.
 	ReportTo func(to VM) bool
+	// Silent are VMs that would be neighbours if they were not silent. They are contacted rarely, so that two parts of a fleet
+	// that have lost each other meet again.
+	Silent []VMID
 }
