Do not let each VM that has lost its hubs become a reader

A VM of a large fleet that no longer hears from its hubs knows no other live VM and chose itself for every duty. In a burst that delayed the heartbeats of the hubs, nearly all of 90 VMs read both topics at every poll, without the random delay that bounds the calls of a fleet.

A VM that knows no live VM now reads as any other VM that lacks proofs.

--- a/core/composer/relay.go
+++ b/core/composer/relay.go
@@ -198,7 +198,7 @@
 	if !n.largeFleet() {
 		return follower.PollPolicy{LongPoll: longPoll, MaxStaleness: maxStaleness}
 	}
-	if n.Detector.IsHub() {
+	if n.Detector.IsHub() && !n.Detector.Isolated() {
 		return follower.PollPolicy{LongPoll: largeLongPoll, MaxStaleness: hubMaxStaleness, ReadInterval: hubReadInterval, HasPeers: true}
 	}
 	interval := min(maxSpokeReadInterval, time.Duration(n.Detector.FleetSize())*spokeReadInterval)
@@ -389,6 +389,9 @@
 
 // isReader reports whether this VM reads the topic for the other VMs.
 func (n *Relay) isReader(topic dragonflypass.Topic) bool {
+	if n.largeFleet() && n.Detector.Isolated() {
+		return false
+	}
 	return slices.Contains(n.readers(topic), n.Options.Self.ID)
 }
 
--- a/core/detector/detector.go
+++ b/core/detector/detector.go
@@ -438,6 +438,18 @@
 	return slices.ContainsFunc(d.zoneHubs()[d.Self.Zone], func(m dragonflypass.Member) bool { return m.VM.ID == d.Self.ID })
 }
 
+// Isolated reports whether this VM knows of no other live VM.
+func (d *Detector) Isolated() bool {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	for _, m := range d.members {
+		if m.State == dragonflypass.MemberLive {
+			return false
+		}
+	}
+	return true
+}
+
 // selfMember returns this VM as a member. It is called with the mutex held.
 func (d *Detector) selfMember() dragonflypass.Member {
 	m := dragonflypass.Member{VM: d.self(), Incarnation: d.Incarnation, State: dragonflypass.MemberLive}
