Ask the readers for proofs even if they send heartbeats first

One heartbeat exchange per interval serves both VMs, but the proof that a topic is current comes only with the response. A hub to which a reader always sent its heartbeat first never sent one itself, and got the proof over further hubs or, after 1.5 s, by a read of its own.

A VM now sends the neighbours that read a topic a heartbeat at each interval of its own.

--- a/core/composer/relay.go
+++ b/core/composer/relay.go
@@ -151,6 +151,9 @@
 	d.Meter, d.Logger = p.Meter, p.Logger
 	d.HeartbeatInterval, d.MemberPollInterval, d.Topology = o.HeartbeatInterval, memberPollInterval, connector.Connector{}
 	d.Partners = func() []dragonflypass.VMID { return append(n.Relayer.OpenOwners(), n.Acquirer.AwaitedOwners()...) }
+	d.Sources = func() []dragonflypass.VMID {
+		return append(n.readers(dragonflypass.TopicRouting), n.readers(dragonflypass.TopicServers)...)
+	}
 	d.ConfigOffset = func() dragonflypass.Offset { return 0 }
 	d.Loads = func() []dragonflypass.ServerLoad { return nil }
 	d.OpenStreams = func(owner dragonflypass.VMID) ([]uint64, []dragonflypass.OpenStream) {
--- a/core/detector/detector.go
+++ b/core/detector/detector.go
@@ -56,6 +56,9 @@
 	Topology dragonflypass.Topology
 	// Partners returns further VMs that must hear from this one at each interval.
 	Partners func() []dragonflypass.VMID
+	// Sources returns the VMs whose responses this one needs at each interval, even if it hears from them: the proof that a
+	// topic is current comes only with a response. Those that are no neighbours are left out.
+	Sources func() []dragonflypass.VMID
 	// HeartbeatInterval is the shortest time between two heartbeats to the same VM, and the timeout of one heartbeat exchange.
 	HeartbeatInterval time.Duration
 	// MemberPollInterval is the time between two reads of the platform's list of VMs.
@@ -108,6 +111,8 @@
 	isSeed bool
 	// lastContact is the time of the last heartbeat sent to the VM, or of the last one from it that was answered.
 	lastContact time.Time
+	// lastSent is the time of the last regular heartbeat sent to the VM.
+	lastSent time.Time
 	// isReported is set while the state is known from the reports of other VMs, and not from the VM itself.
 	isReported bool
 	// refusedAt is the time at which the VM last refused a connection.
@@ -132,6 +137,7 @@
 		HeartbeatAnswered: func(time.Duration, dragonflypass.Heartbeat) {},
 		ShardLoads:        func() []dragonflypass.ShardLoad { return nil },
 		Partners:          func() []dragonflypass.VMID { return nil },
+		Sources:           func() []dragonflypass.VMID { return nil },
 		Topology:          mesher.Mesher{},
 		candidates:        make(map[candidateKey][]dragonflypass.VM),
 		zoneSizes:         make(map[dragonflypass.AvailabilityZone]int),
--- a/core/detector/exchange.go
+++ b/core/detector/exchange.go
@@ -17,10 +17,10 @@
 // Tick marks silent VMs as suspect or gone and sends the heartbeats that are due.
 func (d *Detector) Tick(context.Context) {
 	now := d.Timer.Now()
-	partners := d.Partners()
+	partners, sources := d.Partners(), d.Sources()
 	d.mutex.Lock()
 	changed := d.updateStates(now)
-	due := d.dueNeighbours(now, partners)
+	due := d.dueNeighbours(now, partners, sources)
 	d.mutex.Unlock()
 	d.notify(changed)
 	for _, vm := range due {
@@ -94,16 +94,23 @@
 
 // dueNeighbours returns the neighbours and partners to which a heartbeat is due, and marks it as in flight. It is called
 // with the mutex held.
-func (d *Detector) dueNeighbours(now time.Time, partners []dragonflypass.VMID) []dragonflypass.VM {
+func (d *Detector) dueNeighbours(now time.Time, partners, sources []dragonflypass.VMID) []dragonflypass.VM {
 	interval := d.interval()
 	var due []dragonflypass.VM
 	add := func(id dragonflypass.VMID, interval time.Duration) {
 		m, ok := d.members[id]
-		if !ok || m.heartbeatInFlight || now.Sub(m.lastContact) < interval {
+		if !ok || m.heartbeatInFlight {
+			return
+		}
+		last := m.lastContact
+		if slices.Contains(sources, id) {
+			last = m.lastSent
+		}
+		if now.Sub(last) < interval {
 			return
 		}
 		m.heartbeatInFlight = true
-		m.lastContact = now
+		m.lastContact, m.lastSent = now, now
 		due = append(due, m.VM)
 	}
 	for _, id := range append(slices.Clone(d.selected().Neighbours), partners...) {
