Take the size of a zone only from those who count it

The number of VMs in each zone was passed on by every VM that reported and the last report won, so that an old number went round among the hubs, and a VM that held itself for a hub reported a zone of one VM.

The sizes are now taken from hubs only, and a hub takes that of another zone only from hubs there.

--- a/core/detector/exchange.go
+++ b/core/detector/exchange.go
@@ -311,13 +311,28 @@
 	return max(known, reported)
 }
 
-// updateZoneSizes records the sizes that another VM reports, and reports whether the fleet is a large one. It is called
-// with the mutex held.
-func (d *Detector) updateZoneSizes(sizes map[dragonflypass.AvailabilityZone]int) bool {
-	maps.Copy(d.zoneSizes, sizes)
+// updateZoneSizes records the sizes that another VM reports, and reports whether the fleet is a large one. Only a hub counts
+// the VMs of its zone; it takes the sizes of the other zones from hubs there, as those that others pass on may be older. It
+// is called with the mutex held.
+func (d *Detector) updateZoneSizes(from dragonflypass.VM, sizes map[dragonflypass.AvailabilityZone]int) bool {
+	hubs := d.zoneHubs()
+	if !containsVM(hubs[from.Zone], from.ID) {
+		return d.fleetSize() > connector.SmallFleet
+	}
+	isHub := containsVM(hubs[d.Self.Zone], d.Self.ID)
+	for zone, size := range sizes {
+		if zone == from.Zone || !isHub && from.Zone == d.Self.Zone {
+			d.zoneSizes[zone] = size
+		}
+	}
 	return d.fleetSize() > connector.SmallFleet
 }
 
+// containsVM reports whether the VM is one of the members.
+func containsVM(members []dragonflypass.Member, id dragonflypass.VMID) bool {
+	return slices.ContainsFunc(members, func(m dragonflypass.Member) bool { return m.VM.ID == id })
+}
+
 // applyPeerStatuses updates the VMs whose statuses another VM reports. It is called with the mutex held.
 func (d *Detector) applyPeerStatuses(statuses []dragonflypass.PeerStatus, now time.Time) (changed []dragonflypass.Member) {
 	for _, s := range statuses {
@@ -451,7 +466,7 @@
 	if m.State != old.State || m.VM != old.VM {
 		d.invalidate()
 	}
-	if (d.fleetSize() > connector.SmallFleet) != d.updateZoneSizes(heartbeat.ZoneSizes) {
+	if (d.fleetSize() > connector.SmallFleet) != d.updateZoneSizes(heartbeat.From, heartbeat.ZoneSizes) {
 		d.invalidate()
 	}
 	changed := d.applyPeerStatuses(heartbeat.PeerStatuses, m.LastHeartbeat)
