Do not hand over a stream to an attempt that has just been cancelled

An attempt that is itself a successor may receive its first event at the instant at which its own successor takes over and cancels it. It was handed over all the same, and its successor dropped: the stream would have been cut. The decision is now taken under one lock. Besides, an attempt that was not needed, because its predecessor had gone on, was reported to the owner as lost, which counts as a failure of a healthy server, and the server was excluded from later attempts.

Found by reading; not seen in a run, and the race has no test.

--- a/core/relayer/attempt.go
+++ b/core/relayer/attempt.go
@@ -76,8 +76,8 @@
 	return nil
 }
 
-// end ends the attempt with the given error, nil if its response was forwarded completely. It returns the cause if this VM
-// cancelled the attempt, else the error.
+// end ends the attempt with the given error: nil if its response was forwarded completely, errSuperseded if it is not needed.
+// It returns the cause if this VM cancelled the attempt, else the error.
 func (r *Relayer) end(a *attempt, j *job, err error) error {
 	if cause := context.Cause(a.ctx); err != nil && isAbandonment(cause) {
 		err = cause
@@ -91,7 +91,9 @@
 	r.unregister(a.permit.Stream)
 	j.attemptHistory = append(j.attemptHistory, fmt.Sprintf("%s %s owner %s helpers %d predicted %s", a.permit.Server,
 		describeAttempt(nil, err, r.Timer.Now().Sub(a.startedAt)), a.permit.Owner, len(a.permit.Helpers), a.permit.TimeToFirstToken.Round(time.Millisecond)))
-	j.excluded = append(j.excluded, a.permit.Server)
+	if !errors.Is(err, errSuperseded) {
+		j.excluded = append(j.excluded, a.permit.Server)
+	}
 	r.checkForCrash(a.ctx, j, a.permit.Server, err)
 	r.Permits.Release(a.permit, dragonflypass.PermitRelease{
 		Stream: a.permit.Stream, Server: a.permit.Server, Outcome: outcomeOf(a.ctx, err), FaultyHelper: faultyHelper(a.permit, err),
@@ -126,7 +128,7 @@
 		return dragonflypass.OutcomeDone
 	case errors.Is(err, dragonflypass.ErrRefused):
 		return dragonflypass.OutcomeRefused
-	case ctx.Err() != nil && !isAbandonment(err):
+	case errors.Is(err, errSuperseded), ctx.Err() != nil && !isAbandonment(err):
 		return dragonflypass.OutcomeCancelled
 	case errors.Is(err, dragonflypass.ErrUnavailable):
 		return dragonflypass.OutcomeUnsent
--- a/core/relayer/stream.go
+++ b/core/relayer/stream.go
@@ -27,7 +27,9 @@
 		s := r.newSuccession(ctx, a, j)
 		err := r.forward(a, j)
 		if err == nil || errors.Is(err, errCallerDisconnected) {
-			s.drop()
+			if successor := s.drop(); successor != nil {
+				_ = r.end(successor, s.job, errSuperseded)
+			}
 			return r.concludeStream(ctx, j, r.end(a, j, err))
 		}
 		next = s.finish()
--- a/core/relayer/succession.go
+++ b/core/relayer/succession.go
@@ -1,6 +1,7 @@
 package relayer
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"io"
@@ -111,14 +112,13 @@
 	if err == nil {
 		err = r.readFirstEvent(a, j)
 	}
-	if err == nil {
-		s.drop()
+	if err == nil && s.drop() == nil {
 		s.await()
 		s.mergeInto(j)
 		return a, nil
 	}
 	successor := s.finish()
-	err = r.end(a, j, err)
+	err = r.end(a, j, cmp.Or(err, errStalled))
 	s.mergeInto(j)
 	return successor, err
 }
@@ -180,17 +180,16 @@
 	return s.successor
 }
 
-// drop ends the preparation, or the successor, when the attempt needs none.
-func (s *succession) drop() {
-	s.close()
+// drop ends the preparation when the attempt needs no successor. If the attempt has been cancelled in favor of a successor
+// before, it returns that one.
+func (s *succession) drop() *attempt {
 	s.mutex.Lock()
-	s.cancel()
-	successor := s.successor
-	s.successor = nil
-	s.mutex.Unlock()
-	if successor != nil {
-		s.relayer.end(successor, s.job, errSuperseded)
+	defer s.mutex.Unlock()
+	s.finished = true
+	if s.successor == nil {
+		s.cancel()
 	}
+	return s.successor
 }
 
 // await waits for the end of a preparation in progress.
