Deliver the changes of a topic in the order in which they were read

What callers could see: a route table that had been replaced, or a backend server that had been removed, was in effect again until the next change of the same key: keys that were revoked, refusals for want of a server, requests to a server that is gone.

Cause: a page is merged with the mutex held, but the listeners are called after it has been released. The poll and the responses to heartbeats run on different workers, so that of two pages the later one could reach the listeners first. The registrar then applied the older record last. The router ignores an older table, but compared and stored it in two steps.

Fix: merged changes are queued while the mutex is held, and one worker at a time passes them on, in this order and with no lock held. A worker that finds another one at it leaves its changes to that one. This holds for each listener of each topic.

Evidence: TestOlderRecordIsNotDeliveredLast failed before: delivered 2, 3, 1 instead of 1, 2, 3. Not seen in a fleet.

--- a/core/follower/follower.go
+++ b/core/follower/follower.go
@@ -92,6 +92,16 @@
 	// loadedDone is closed once the topic has been read.
 	loadedDone chan struct{}
 	listeners  []func([]dragonflypass.Update)
+	// undelivered holds the changes that the listeners have not received, in the order in which they were merged. The goroutine
+	// that has set delivering passes them on.
+	undelivered []change
+	delivering  bool
+}
+
+// change is the result of merging one page.
+type change struct {
+	updates []dragonflypass.Update
+	source  dragonflypass.VMID
 }
 
 // New returns a follower of the topic with an empty copy.
@@ -209,6 +219,9 @@
 	}
 	changed := f.mergePage(page, fullSnapshot)
 	recovered := f.recordFresh(freshAsOf)
+	if len(changed) > 0 {
+		f.undelivered = append(f.undelivered, change{updates: changed, source: source})
+	}
 	f.mutex.Unlock()
 	if recovered {
 		f.Logger.Info("store regained", "topic", f.Topic, "source", cmp.Or(source, "store"))
@@ -219,13 +232,29 @@
 			f.Logger.Warn("unreadable record", "topic", f.Topic, "key", update.Key, "offset", uint64(update.Offset), "error", update.Err)
 		}
 	}
-	if len(changed) == 0 {
+	f.deliver()
+}
+
+// deliver calls the listeners with the changes that they have not received, unless another goroutine does so already: a
+// change must not reach them after a later one.
+func (f *Follower) deliver() {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	if f.delivering {
 		return
 	}
-	for _, listener := range f.listeners {
-		listener(changed)
+	f.delivering = true
+	for len(f.undelivered) > 0 {
+		next := f.undelivered[0]
+		f.undelivered = f.undelivered[1:]
+		f.mutex.Unlock()
+		for _, listener := range f.listeners {
+			listener(next.updates)
+		}
+		f.Changed(next.source)
+		f.mutex.Lock()
 	}
-	f.Changed(source)
+	f.delivering = false
 }
 
 // mergePage merges the page into the copy and returns the changed and removed records. A full snapshot also removes the
--- a/core/follower/follower_test.go
+++ b/core/follower/follower_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"testing/synctest"
@@ -55,18 +56,51 @@
 	return dragonflypass.Update{Key: key, Offset: offset, Raw: raw}
 }
 
+// newFollower returns a follower that is no reader and has not read the topic.
+func newFollower() *follower.Follower {
+	f := follower.New(dragonflypass.TopicRouting, dragonflypass.JobRouting)
+	f.Timer, f.Store, f.Meter, f.Logger = timer.New(&worker.Pool{}), rawStore{}, fake.NewMeter(), fake.Logger{}
+	f.PollPolicy, f.IsReader = func() follower.PollPolicy { return follower.PollPolicy{} }, func() bool { return false }
+	f.Equal = func(dragonflypass.Update, dragonflypass.Update) bool { return false }
+	return f
+}
+
+// page returns a watermark with a new record of the only key of the topic.
+func page(offset dragonflypass.Offset) dragonflypass.Watermark {
+	return dragonflypass.Watermark{Topic: dragonflypass.TopicRouting, EndOffset: offset, Loaded: true,
+		Updates: []dragonflypass.Update{{Key: "routing", Offset: offset, Raw: []byte("record")}}}
+}
+
+// TestOlderRecordIsNotDeliveredLast has a second page arrive while the listeners are still busy with the first one.
+func TestOlderRecordIsNotDeliveredLast(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		f := newFollower()
+		var mutex sync.Mutex
+		var delivered []dragonflypass.Offset
+		f.Subscribe(func(updates []dragonflypass.Update) {
+			if updates[0].Offset == 1 {
+				time.Sleep(time.Second)
+			}
+			mutex.Lock()
+			defer mutex.Unlock()
+			delivered = append(delivered, updates[0].Offset)
+		})
+		var pages sync.WaitGroup
+		for offset := dragonflypass.Offset(1); offset <= 3; offset++ {
+			pages.Go(func() { f.HandleWatermark(f.Timer.Uptime(), page(offset), "vm-1") })
+			synctest.Wait()
+		}
+		pages.Wait()
+		c.Check(delivered, qt.DeepEquals, []dragonflypass.Offset{1, 2, 3})
+	})
+}
+
 // TestLargeUpdatesAreWithheld checks that the response to a regular heartbeat carries no large updates, and that a VM which
 // is sent none does not take its copy for current.
 func TestLargeUpdatesAreWithheld(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		c := qt.New(t)
-		newFollower := func() *follower.Follower {
-			f := follower.New(dragonflypass.TopicRouting, dragonflypass.JobRouting)
-			f.Timer, f.Store, f.Meter, f.Logger = timer.New(&worker.Pool{}), rawStore{}, fake.NewMeter(), fake.Logger{}
-			f.PollPolicy, f.IsReader = func() follower.PollPolicy { return follower.PollPolicy{} }, func() bool { return false }
-			f.Equal = func(dragonflypass.Update, dragonflypass.Update) bool { return false }
-			return f
-		}
 		ahead, behind := newFollower(), newFollower()
 		large := dragonflypass.Watermark{Topic: dragonflypass.TopicRouting, EndOffset: 1, Loaded: true, FullSnapshot: true,
 			Updates: []dragonflypass.Update{{Key: "routing", Raw: make([]byte, 100_000)}}}
