Count a topic as loaded once its listeners have applied it

What callers saw: a request that came right after the start of a VM was refused because no server was available, or no route table, although both were known a moment later.

Cause: the follower closed loadedDone when it merged the first page, before its listeners had put the route table or the servers into effect. Requests that waited for it went on at once; the allocator, which keeps requests queued until the registry has been read, refused them as well.

Fix: loadedDone is closed after the listeners have returned from the first page, by the worker that called them. A second page that arrives meanwhile does not close it. Reads go on from the end of the copy as soon as the first page has been merged, as before.

Evidence: TestTopicIsNotLoadedBeforeItIsApplied failed before ("loaded before the listeners have applied the topic").

--- a/core/follower/follower.go
+++ b/core/follower/follower.go
@@ -89,7 +89,7 @@
 	startedAt time.Duration
 	// ownReadAt is the uptime before which a VM that is not a reader does not read the store.
 	ownReadAt time.Duration
-	// loadedDone is closed once the topic has been read.
+	// loadedDone is closed once the listeners have applied the first page.
 	loadedDone chan struct{}
 	listeners  []func([]dragonflypass.Update)
 	// undelivered holds the changes that the listeners have not received, in the order in which they were merged. The goroutine
@@ -102,6 +102,8 @@
 type change struct {
 	updates []dragonflypass.Update
 	source  dragonflypass.VMID
+	// first is set for the first page, which may be empty.
+	first bool
 }
 
 // New returns a follower of the topic with an empty copy.
@@ -181,7 +183,7 @@
 
 // fetch returns the changes since the offset, or the complete topic if the store no longer has all of them.
 func (f *Follower) fetch(ctx context.Context, from dragonflypass.Offset, wait time.Duration) (page dragonflypass.UpdatePage, fullSnapshot bool, err error) {
-	if f.Loaded() {
+	if _, loaded := f.FreshAsOf(); loaded {
 		changesCtx, cancel := f.Timer.WithDeadline(ctx, f.Timer.Now().Add(wait+storeCallMargin))
 		defer cancel()
 		page, err = f.Store.Changes(changesCtx, f.Topic, from, wait)
@@ -217,10 +219,11 @@
 		f.mutex.Unlock()
 		return
 	}
+	first := !f.loaded
 	changed := f.mergePage(page, fullSnapshot)
 	recovered := f.recordFresh(freshAsOf)
-	if len(changed) > 0 {
-		f.undelivered = append(f.undelivered, change{updates: changed, source: source})
+	if first || len(changed) > 0 {
+		f.undelivered = append(f.undelivered, change{updates: changed, source: source, first: first})
 	}
 	f.mutex.Unlock()
 	if recovered {
@@ -248,15 +251,27 @@
 		next := f.undelivered[0]
 		f.undelivered = f.undelivered[1:]
 		f.mutex.Unlock()
-		for _, listener := range f.listeners {
-			listener(next.updates)
-		}
-		f.Changed(next.source)
+		f.pass(next)
 		f.mutex.Lock()
 	}
 	f.delivering = false
 }
 
+// pass calls the listeners with the change. It is called with no lock held.
+func (f *Follower) pass(c change) {
+	if len(c.updates) > 0 {
+		for _, listener := range f.listeners {
+			listener(c.updates)
+		}
+	}
+	if c.first {
+		close(f.loadedDone)
+	}
+	if len(c.updates) > 0 {
+		f.Changed(c.source)
+	}
+}
+
 // mergePage merges the page into the copy and returns the changed and removed records. A full snapshot also removes the
 // records that it does not contain. It is called with the mutex held.
 func (f *Follower) mergePage(page dragonflypass.UpdatePage, fullSnapshot bool) (changed []dragonflypass.Update) {
@@ -286,9 +301,6 @@
 			}
 		}
 	}
-	if !f.loaded {
-		close(f.loadedDone)
-	}
 	f.endOffset, f.loaded = page.EndOffset, true
 	return changed
 }
@@ -316,7 +328,8 @@
 	return recovered
 }
 
-// Loaded reports whether the topic has been read at least once. It takes no lock, so it may be called with any held.
+// Loaded reports whether the topic has been read and applied at least once. It takes no lock, so it may be called with any
+// held.
 func (f *Follower) Loaded() bool {
 	select {
 	case <-f.loadedDone:
@@ -326,7 +339,7 @@
 	}
 }
 
-// LoadedDone returns a channel that is closed once the topic has been read.
+// LoadedDone returns a channel that is closed once the topic has been read and the listeners have applied it.
 func (f *Follower) LoadedDone() <-chan struct{} { return f.loadedDone }
 
 // FreshAsOf returns the uptime as of which the copy is known to be current. The result loaded is false until the
--- a/core/follower/follower_test.go
+++ b/core/follower/follower_test.go
@@ -96,6 +96,44 @@
 	})
 }
 
+// TestTopicIsNotLoadedBeforeItIsApplied has a second first page arrive, which changes nothing, while the listeners are still
+// busy with the first one. Requests after a start wait until the topic counts as loaded.
+func TestTopicIsNotLoadedBeforeItIsApplied(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		f := newFollower()
+		applied := make(chan struct{})
+		f.Subscribe(func([]dragonflypass.Update) {
+			time.Sleep(time.Second)
+			close(applied)
+		})
+		go func() {
+			<-f.LoadedDone()
+			select {
+			case <-applied:
+			default:
+				c.Error("loaded before the listeners have applied the topic")
+			}
+		}()
+		for range 2 {
+			go f.HandleWatermark(f.Timer.Uptime(), page(1), "vm-1")
+			synctest.Wait()
+			c.Check(f.Loaded(), qt.IsFalse)
+		}
+		time.Sleep(time.Second)
+		synctest.Wait()
+		c.Check(f.Loaded(), qt.IsTrue)
+	})
+}
+
+// TestEmptyTopicIsLoaded reads a topic without records, about which no listener hears.
+func TestEmptyTopicIsLoaded(t *testing.T) {
+	c := qt.New(t)
+	f := newFollower()
+	f.HandleWatermark(f.Timer.Uptime(), dragonflypass.Watermark{Topic: dragonflypass.TopicRouting, EndOffset: 1, Loaded: true}, "vm-1")
+	c.Check(f.Loaded(), qt.IsTrue)
+}
+
 // TestLargeUpdatesAreWithheld checks that the response to a regular heartbeat carries no large updates, and that a VM which
 // is sent none does not take its copy for current.
 func TestLargeUpdatesAreWithheld(t *testing.T) {
