Compare and replace the route table in one step

What callers could see: a route table that had been replaced in effect again until the next change, with revoked keys.

Cause: Router.ApplyUpdates loaded the table in effect, compared the versions and stored the newer one without anything that kept another worker from storing a still newer one in between.

Fix: the table is stored only if the one that it was compared with is still in effect, else it is compared again.

--- a/core/router/router.go
+++ b/core/router/router.go
@@ -42,17 +42,28 @@
 		if table == nil {
 			continue
 		}
-		old := r.current.Load()
-		if old != nil && table.Version <= old.Version {
-			r.Logger.Warn("older route table ignored", "version", table.Version, "current", old.Version)
+		if current, ok := r.replaceOlder(table); !ok {
+			r.Logger.Warn("older route table ignored", "version", table.Version, "current", current.Version)
 			continue
 		}
-		r.current.Store(table)
 		r.Meter.Add(dragonflypass.CountConfigApplied, 1)
 		r.Logger.Info("routing in effect", "version", table.Version, "routes", table.Routes(), "services", len(table.Services))
 	}
 }
 
+// replaceOlder puts the table into effect unless the one in effect is as new, which it then returns.
+func (r *Router) replaceOlder(table *dragonflypass.RouteTable) (current *dragonflypass.RouteTable, ok bool) {
+	for {
+		old := r.current.Load()
+		if old != nil && table.Version <= old.Version {
+			return old, false
+		}
+		if r.current.CompareAndSwap(old, table) {
+			return table, true
+		}
+	}
+}
+
 // Current returns the table in effect, or nil before the first one.
 func (r *Router) Current() *dragonflypass.RouteTable { return r.current.Load() }
 
