Judge a route table by its own freshness

What callers could see: a key accepted that had been revoked more than 5 s before. Suspected from the code, not seen in a fleet.

Cause: after a time without proofs, a page that contains the revocation made the copy fresh before the listeners had put the new table into effect, so that a request in between was checked against the old table with the freshness of the new one. The router also loaded the table before its staleness, and read the staleness again for each check.

Fix: the follower reports as freshness only that of the changes which the listeners have applied, in the order in which they were read. Its own reads and what it tells other VMs still count from the copy, whose records they contain. The router reads the staleness once and before the table, which can then only be newer.

--- a/core/follower/follower.go
+++ b/core/follower/follower.go
@@ -76,8 +76,9 @@
 	endOffset      dragonflypass.Offset
 	loaded         bool
 	// freshAsOf is the uptime as of which the copy is known to be current: the start of the latest successful
-	// read by this VM or another one.
-	freshAsOf time.Duration
+	// read by this VM or another one. appliedAsOf is that of the changes that the listeners have applied.
+	freshAsOf   time.Duration
+	appliedAsOf time.Duration
 	// storeRecoveredAt is the uptime of the first successful read after the latest outage of the store, zero if there was none.
 	storeRecoveredAt time.Duration
 	storeFailed      bool
@@ -100,10 +101,10 @@
 
 // change is the result of merging one page.
 type change struct {
-	updates []dragonflypass.Update
-	source  dragonflypass.VMID
-	// first is set for the first page, which may be empty.
-	first bool
+	// updates may be empty.
+	updates   []dragonflypass.Update
+	freshAsOf time.Duration
+	source    dragonflypass.VMID
 }
 
 // New returns a follower of the topic with an empty copy.
@@ -183,7 +184,7 @@
 
 // fetch returns the changes since the offset, or the complete topic if the store no longer has all of them.
 func (f *Follower) fetch(ctx context.Context, from dragonflypass.Offset, wait time.Duration) (page dragonflypass.UpdatePage, fullSnapshot bool, err error) {
-	if _, loaded := f.FreshAsOf(); loaded {
+	if f.Watermark().Loaded {
 		changesCtx, cancel := f.Timer.WithDeadline(ctx, f.Timer.Now().Add(wait+storeCallMargin))
 		defer cancel()
 		page, err = f.Store.Changes(changesCtx, f.Topic, from, wait)
@@ -219,12 +220,9 @@
 		f.mutex.Unlock()
 		return
 	}
-	first := !f.loaded
 	changed := f.mergePage(page, fullSnapshot)
 	recovered := f.recordFresh(freshAsOf)
-	if first || len(changed) > 0 {
-		f.undelivered = append(f.undelivered, change{updates: changed, source: source, first: first})
-	}
+	f.undelivered = append(f.undelivered, change{updates: changed, freshAsOf: freshAsOf, source: source})
 	f.mutex.Unlock()
 	if recovered {
 		f.Logger.Info("store regained", "topic", f.Topic, "source", cmp.Or(source, "store"))
@@ -251,25 +249,28 @@
 		next := f.undelivered[0]
 		f.undelivered = f.undelivered[1:]
 		f.mutex.Unlock()
-		f.pass(next)
+		if len(next.updates) > 0 {
+			for _, listener := range f.listeners {
+				listener(next.updates)
+			}
+		}
+		f.recordApplied(next.freshAsOf)
+		if len(next.updates) > 0 {
+			f.Changed(next.source)
+		}
 		f.mutex.Lock()
 	}
 	f.delivering = false
 }
 
-// pass calls the listeners with the change. It is called with no lock held.
-func (f *Follower) pass(c change) {
-	if len(c.updates) > 0 {
-		for _, listener := range f.listeners {
-			listener(c.updates)
-		}
-	}
-	if c.first {
+// recordApplied records that the listeners have applied changes that were read as of the given uptime.
+func (f *Follower) recordApplied(freshAsOf time.Duration) {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	f.appliedAsOf = max(f.appliedAsOf, freshAsOf)
+	if !f.Loaded() {
 		close(f.loadedDone)
 	}
-	if len(c.updates) > 0 {
-		f.Changed(c.source)
-	}
 }
 
 // mergePage merges the page into the copy and returns the changed and removed records. A full snapshot also removes the
@@ -342,12 +343,12 @@
 // LoadedDone returns a channel that is closed once the topic has been read and the listeners have applied it.
 func (f *Follower) LoadedDone() <-chan struct{} { return f.loadedDone }
 
-// FreshAsOf returns the uptime as of which the copy is known to be current. The result loaded is false until the
-// topic has been read.
+// FreshAsOf returns the uptime as of which what the listeners have applied is known to be current. The result loaded is
+// false until they have applied the topic once.
 func (f *Follower) FreshAsOf() (freshAsOf time.Duration, loaded bool) {
 	f.mutex.Lock()
 	defer f.mutex.Unlock()
-	return f.freshAsOf, f.loaded
+	return f.appliedAsOf, f.Loaded()
 }
 
 // StoreRecoveredAt returns the uptime at which the store last became available again, zero if it has had no outage.
--- a/core/follower/follower_test.go
+++ b/core/follower/follower_test.go
@@ -126,6 +126,28 @@
 	})
 }
 
+// TestTableIsNotFreshBeforeItIsApplied reads the topic again after a long time. What the listeners have applied must not
+// count as current before they have applied what has been read.
+func TestTableIsNotFreshBeforeItIsApplied(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		f := newFollower()
+		f.HandleWatermark(f.Timer.Uptime(), page(1), "vm-1")
+		before, loaded := f.FreshAsOf()
+		c.Assert(loaded, qt.IsTrue)
+		f.Subscribe(func([]dragonflypass.Update) { time.Sleep(time.Second) })
+		readAt := before + 10*time.Second
+		go f.HandleWatermark(readAt, page(2), "vm-1")
+		synctest.Wait()
+		during, _ := f.FreshAsOf()
+		c.Check(during, qt.Equals, before)
+		time.Sleep(time.Second)
+		synctest.Wait()
+		after, _ := f.FreshAsOf()
+		c.Check(after, qt.Equals, readAt)
+	})
+}
+
 // TestEmptyTopicIsLoaded reads a topic without records, about which no listener hears.
 func TestEmptyTopicIsLoaded(t *testing.T) {
 	c := qt.New(t)
--- a/core/router/router.go
+++ b/core/router/router.go
@@ -78,7 +78,11 @@
 
 // AcceptsKeys reports whether the table is fresh enough to accept the keys in it: a revoked one would have been removed.
 func (r *Router) AcceptsKeys() bool {
-	staleness := r.Staleness()
+	return r.acceptsKeys(r.Staleness())
+}
+
+// acceptsKeys is AcceptsKeys for a table with the given staleness.
+func (r *Router) acceptsKeys(staleness time.Duration) bool {
 	return staleness >= 0 && staleness < r.RevokeLimit-freshnessMargin
 }
 
@@ -88,9 +92,9 @@
 	return staleness >= 0 && staleness < readyStaleness
 }
 
-// complete reports whether the table is fresh enough to conclude that a route or key missing from it does not exist.
-func (r *Router) complete() bool {
-	staleness := r.Staleness()
+// complete reports whether a table with the given staleness is fresh enough to conclude that a route or key missing from it
+// does not exist.
+func (r *Router) complete(staleness time.Duration) bool {
 	return staleness >= 0 && staleness < r.ApplyLimit-freshnessMargin
 }
 
@@ -108,13 +112,15 @@
 
 // Find returns the route, the client account and the priority of the request.
 func (r *Router) Find(e *dragonflypass.Exchange) (Match, *dragonflypass.Refusal) {
-	match := Match{Table: r.Current(), Staleness: r.Staleness()}
+	// The staleness must not be that of a newer table.
+	match := Match{Staleness: r.Staleness()}
+	match.Table = r.Current()
 	if match.Table == nil {
 		return match, dragonflypass.Refuse(dragonflypass.ReasonNoRouting, otherVMRetryAfter, "the route table has not been loaded yet")
 	}
 	match.Route = match.Table.Match(e.Host, e.Path)
 	if match.Route == nil {
-		if !r.complete() {
+		if !r.complete(match.Staleness) {
 			return match, dragonflypass.Refuse(dragonflypass.ReasonNoRouting, otherVMRetryAfter, "no route matches, but the route table may be out of date")
 		}
 		return match, dragonflypass.Refuse(dragonflypass.ReasonNotFound, 0, "no route matches %s%s", e.Host, e.Path)
@@ -128,12 +134,12 @@
 
 // authenticate sets the client account to which the request's key belongs, and the account's priority.
 func (r *Router) authenticate(e *dragonflypass.Exchange, match *Match) *dragonflypass.Refusal {
-	if !r.AcceptsKeys() {
+	if !r.acceptsKeys(match.Staleness) {
 		return dragonflypass.Refuse(dragonflypass.ReasonNoRouting, otherVMRetryAfter, "keys cannot be checked: the route table was last confirmed %s ago", match.Staleness)
 	}
 	account := match.Table.Account(sha256.Sum256([]byte(e.Credential)))
 	if account == nil {
-		if !r.complete() {
+		if !r.complete(match.Staleness) {
 			return dragonflypass.Refuse(dragonflypass.ReasonNoRouting, otherVMRetryAfter, "the key is unknown, but the route table may be out of date")
 		}
 		return dragonflypass.Refuse(dragonflypass.ReasonUnauthorized, 0, "the key is missing or unknown")
