Do not cut a stream that stalls again after another server took it over

Cause: the successor of a stalled stream is registered with the copy of the job from before the head was forwarded. Its open stream was therefore never marked as one whose head is written, also not when it took over, for the head had been written by then.

Fix: the job of a preparation has the head as written, as a preparation only starts after it.

--- a/core/composer/stall_test.go
+++ b/core/composer/stall_test.go
@@ -80,3 +80,28 @@
 		c.Check(got.Complete(4), qt.IsTrue, qt.Commentf("%v %v", got.EventIDs, got.Err))
 	})
 }
+
+// TestStreamIsNotCutAfterTakeover stalls a stream a second time after another server has taken it over, while no
+// other can run it.
+func TestStreamIsNotCutAfterTakeover(t *testing.T) {
+	withRelaySite(t, 2, 1, 2, func(c *qt.C, s *fake.RelaySite) {
+		for _, server := range s.ModelServers {
+			server.EventInterval = 150 * time.Millisecond
+		}
+		answer := make(chan *fake.ResponseRecorder)
+		go func() { answer <- s.Send(0, fake.NewExchange("stream", "/stream/x", 800)) }()
+		time.Sleep(time.Second)
+		first, second := s.ModelServers[0], s.ModelServers[1]
+		if first.Running() == 0 {
+			first, second = second, first
+		}
+		first.SetFault(fake.BackendSilent)
+		time.Sleep(3 * time.Second)
+		c.Assert(second.Running(), qt.Equals, 1)
+		first.SetFault(fake.BackendRefusing)
+		second.SetFault(fake.BackendSilent)
+		time.Sleep(stallDuration)
+		second.SetFault(fake.BackendHealthy)
+		checkComplete(c, s, []*fake.ResponseRecorder{<-answer})
+	})
+}
--- a/core/relayer/succession.go
+++ b/core/relayer/succession.go
@@ -24,8 +24,8 @@
 	ctx         context.Context
 	cancel      context.CancelFunc
 	predecessor *attempt
-	// job is a copy of the exchange's job, as it will be when the attempt has failed. It is used by the preparation, and by
-	// the exchange after finish.
+	// job is a copy of the exchange's job, as it will be when the attempt has failed after the head. It is used by the
+	// preparation, and by the exchange after finish.
 	job *job
 	// before is the job before the first preparation.
 	before job
@@ -47,7 +47,7 @@
 	if a.response == nil {
 		next.attemptCount++
 	}
-	next.maybeExecuted = true
+	next.maybeExecuted, next.headWritten = true, true
 	s := &succession{relayer: r, predecessor: a, job: &next, before: next, mutex: locker.Mutex{Order: locker.Permits}}
 	s.ctx, s.cancel = context.WithCancel(ctx)
 	a.open.succession.Store(s)
