End a failed attempt before its successor is awaited

Cause: when an attempt failed by itself while its successor was in preparation, the exchange waited for the preparation and only then ended the attempt. A preparation may wait for a permit, or at a server that hangs, until the deadline. Meanwhile the permit and the reservations of the failed attempt were kept and renewed. If the preparation succeeded, its cancellation also made the attempt count as stalled, so that a crash of its server was not reported.

Fix: the attempt is ended first, which frees all that it holds, and the preparation is awaited then.

--- a/core/composer/stall_test.go
+++ b/core/composer/stall_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"sync"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	qt "github.com/frankban/quicktest"
@@ -105,3 +106,39 @@
 		checkComplete(c, s, []*fake.ResponseRecorder{<-answer})
 	})
 }
+
+// TestMemoryOfBrokenStreamIsFreeDuringPreparation breaks a stalled stream whose memory is reserved at several servers, while
+// its successor is in preparation at a server that hangs. The memory must not be kept until the preparation has ended.
+func TestMemoryOfBrokenStreamIsFreeDuringPreparation(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		s := fake.NewRelaySite(t.Context(), 3, 1, 6)
+		s.Timeout, s.Objective = 40*time.Second, 20*time.Second
+		for _, server := range s.ModelServers {
+			server.EventInterval = 500 * time.Millisecond
+		}
+		s.Start()
+		reserved := func() (total int) {
+			for _, server := range s.ModelServers {
+				total += server.Reserved()
+			}
+			return total
+		}
+		e := fake.NewExchange("large", "/stream/x", 450_000)
+		e.Deadline = e.Arrived.Add(s.Timeout)
+		go s.Send(0, e)
+		time.Sleep(time.Second)
+		var first *fake.Backend
+		for _, server := range s.ModelServers {
+			if server.Running() > 0 {
+				first = server
+			}
+			server.SetFault(fake.BackendSilent)
+		}
+		c.Assert(reserved() > 0, qt.IsTrue)
+		time.Sleep(stallDuration)
+		first.SetFault(fake.BackendDown)
+		time.Sleep(4 * time.Second)
+		c.Check(reserved(), qt.Equals, 0)
+	})
+}
--- a/core/relayer/stream.go
+++ b/core/relayer/stream.go
@@ -32,8 +32,8 @@
 			}
 			return r.concludeStream(ctx, j, r.end(a, j, err))
 		}
-		next = s.finish()
 		err = r.end(a, j, err)
+		next = s.finish()
 		j.abandoned = isAbandonment(err)
 		s.mergeInto(j)
 		if next == nil && !r.shouldTryAnother(ctx, j, err) {
--- a/core/relayer/succession.go
+++ b/core/relayer/succession.go
@@ -117,8 +117,8 @@
 		s.mergeInto(j)
 		return a, nil
 	}
-	successor := s.finish()
 	err = r.end(a, j, cmp.Or(err, errStalled))
+	successor := s.finish()
 	s.mergeInto(j)
 	return successor, err
 }
@@ -172,7 +172,8 @@
 	return s.running
 }
 
-// finish waits for the preparation in progress when the attempt has failed. It returns the successor, nil if there is none.
+// finish waits for the preparation in progress when the attempt has failed and been ended. It returns the successor, nil if
+// there is none.
 func (s *succession) finish() *attempt {
 	s.await()
 	s.mutex.Lock()
