Return the permit of an unneeded successor unused

What callers saw: a stream that stalled, went on and stalled again was cut although another server could have run it (LOST).

Cause: if the stalled attempt goes on while its successor waits for a permit, the permit is given back. It was ended like an attempt that had failed: its server, to which nothing had been sent, was excluded from further attempts of the request and reported to the owner as one that had lost a stream.

Fix: an attempt that has sent nothing is only taken off the table of open streams, and its permit is released as cancelled.

--- a/core/composer/stall_test.go
+++ b/core/composer/stall_test.go
@@ -142,3 +142,41 @@
 		c.Check(reserved(), qt.Equals, 0)
 	})
 }
+
+// TestServerOfUnusedPermitIsTriedAgain stalls a stream until its successor waits for a permit, lets it go on until the permit is
+// granted, and stalls it again. The server of the unused permit is healthy and must take the stream over.
+func TestServerOfUnusedPermitIsTriedAgain(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		s := fake.NewRelaySite(t.Context(), 1, 1, 2)
+		s.Timeout = 40 * time.Second
+		for _, server := range s.ModelServers {
+			server.EventInterval = 500 * time.Millisecond
+		}
+		s.Start()
+		send := func(id string, tokens int) chan *fake.ResponseRecorder {
+			answer := make(chan *fake.ResponseRecorder, 1)
+			e := fake.NewExchange(id, "/stream/x", tokens)
+			e.Deadline = e.Arrived.Add(s.Timeout)
+			go func() { answer <- s.Send(0, e) }()
+			time.Sleep(500 * time.Millisecond)
+			return answer
+		}
+		stalled := send("stream", 800)
+		first, second := s.ModelServers[0], s.ModelServers[1]
+		if first.Running() == 0 {
+			first, second = second, first
+		}
+		// The prompt leaves no memory for another one at the second server.
+		large := send("large", 404_800)
+		c.Assert(second.Running(), qt.Equals, 1)
+		first.SetFault(fake.BackendSilent)
+		time.Sleep(4 * time.Second)
+		first.SetFault(fake.BackendHealthy)
+		c.Check((<-large).Complete(20), qt.IsTrue)
+		time.Sleep(500 * time.Millisecond)
+		c.Assert(s.Nodes[0].Meter.Count(dragonflypass.CountRetried), qt.Equals, int64(1))
+		first.SetFault(fake.BackendSilent)
+		checkComplete(c, s, []*fake.ResponseRecorder{<-stalled})
+	})
+}
--- a/core/relayer/attempt.go
+++ b/core/relayer/attempt.go
@@ -103,6 +103,16 @@
 	return err
 }
 
+// returnUnused ends an attempt that has sent nothing to its server. The server may be tried again.
+func (r *Relayer) returnUnused(a *attempt) {
+	r.unregister(a.permit.Stream)
+	r.Permits.Release(a.permit, dragonflypass.PermitRelease{
+		Stream: a.permit.Stream, Server: a.permit.Server, Outcome: dragonflypass.OutcomeCancelled,
+		Leaving: permitServers(a.permit, r.Excluder.Leaving),
+	})
+	a.cancel(nil)
+}
+
 // isAbandonment reports whether this VM cancelled the attempt although its server had not failed.
 func isAbandonment(cause error) bool {
 	return errors.Is(cause, errStalled) || errors.Is(cause, errServerUnreachable)
--- a/core/relayer/succession.go
+++ b/core/relayer/succession.go
@@ -85,7 +85,7 @@
 			a, err := r.begin(s.ctx, j)
 			if err == nil && s.predecessor.open.stallsAt.Load() != stallsAt {
 				// The predecessor has received an event while this attempt waited for its permit.
-				r.end(a, j, errSuperseded)
+				r.returnUnused(a)
 				err = errSuperseded
 			}
 			if err != nil {
