Do not cancel an attempt whose head is being forwarded

What callers saw: a stream was cut at its beginning (LOST), if its head arrived at the moment at which it counted as stalled or its server as unreachable.

Cause: check then act. A head that was forwarded in between could not be taken back, and no successor was prepared.

Fix: forwarding the head and giving up the attempt are two changes of the same state, of which only the first takes place.

--- a/core/composer/stall_test.go
+++ b/core/composer/stall_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -180,3 +181,22 @@
 		checkComplete(c, s, []*fake.ResponseRecorder{<-stalled})
 	})
 }
+
+// TestStreamIsNotCutWhileHeadArrives has the head of a response arrive while the sweep decides that the stream has stalled.
+func TestStreamIsNotCutWhileHeadArrives(t *testing.T) {
+	withRelaySite(t, 1, 1, 1, func(c *qt.C, s *fake.RelaySite) {
+		const headDelay = 2500 * time.Millisecond
+		s.ModelServers[0].TimeToHead = headDelay
+		budgets, sweeping := s.Nodes[0].Budgets, new(atomic.Bool)
+		budgets.VMs = func() int {
+			if sweeping.Swap(false) {
+				time.Sleep(headDelay / 2)
+			}
+			return 1
+		}
+		time.AfterFunc(headDelay/2, func() { sweeping.Store(true) })
+		got := s.Send(0, fake.NewExchange("stream", "/stream/x", 800))
+		c.Check(sweeping.Load(), qt.IsFalse)
+		checkComplete(c, s, []*fake.ResponseRecorder{got})
+	})
+}
--- a/core/relayer/open.go
+++ b/core/relayer/open.go
@@ -45,10 +45,10 @@
 	firstEventAt time.Time
 	// lastAttempt is set if no other server may be tried after this one.
 	lastAttempt bool
-	// prefilled is set once the first event has arrived, and headWritten once the head of a response has been forwarded to
-	// the caller.
-	prefilled   atomic.Bool
-	headWritten atomic.Bool
+	// prefilled is set once the first event has arrived.
+	prefilled atomic.Bool
+	// head is one of the states of the head below.
+	head atomic.Uint32
 	// lastEventID is the identifier of the last event that the caller has received, nil if no other server can go on from it.
 	lastEventID atomic.Pointer[string]
 	// succession prepares a successor at another server; it is nil until the attempt may have one.
@@ -63,6 +63,24 @@
 	checkAt         atomic.Int64
 }
 
+// The states of the head of a response.
+const (
+	headPending uint32 = iota
+	// headForwarded means that a head has been forwarded to the caller, which can no longer be told of a failure.
+	headForwarded
+	// headAbandoned means that the attempt has been cancelled and forwards no head.
+	headAbandoned
+)
+
+// abandon cancels the attempt unless a head has been forwarded. It reports whether the attempt was cancelled.
+func (s *openStream) abandon(cause error) bool {
+	if !s.head.CompareAndSwap(headPending, headAbandoned) {
+		return false
+	}
+	s.cancel(cause)
+	return true
+}
+
 // recordProgress records that the server is known to work on the stream, or was just probed.
 func (s *openStream) recordProgress(now time.Time) {
 	s.checkAt.Store(now.Add(reservedCheckInterval).UnixNano())
@@ -88,7 +106,9 @@
 		open.hasReservations = open.hasReservations || h.Reservation != ""
 	}
 	open.recordProgress(open.startedAt)
-	open.headWritten.Store(j.headWritten)
+	if j.headWritten {
+		open.head.Store(headForwarded)
+	}
 	open.lastEventID.Store(j.resumeFrom())
 	// The owner may schedule more urgent prompts first, as long as this stream meets its objective.
 	stallsAt := r.Timer.Now().Add(permit.TimeToFirstToken + max(firstEventGrace, j.route.LatencyObjective/2))
@@ -181,15 +201,13 @@
 	stalled := now.UnixNano() > open.stallsAt.Load()
 	unreachableTime := r.Assessor.UnreachableTime(open.stream.Server)
 	switch s := open.succession.Load(); {
-	case !open.headWritten.Load():
+	case open.head.Load() != headForwarded:
 		// The caller can still be told that no other server takes over, and may send the request again.
 		if stalled && r.replaceable(open) {
-			open.cancel(errStalled)
-			return true
+			return open.abandon(errStalled)
 		}
 		if unreachableTime > 0 {
-			open.cancel(errServerUnreachable)
-			return true
+			return open.abandon(errServerUnreachable)
 		}
 	case open.hasReservations && unreachableTime >= unreachableLimit:
 		open.cancel(errServerUnreachable)
@@ -213,8 +231,8 @@
 	s := open.succession.Load()
 	switch {
 	case !r.replaceable(open):
-	case !open.headWritten.Load():
-		open.cancel(errStalled)
+	case open.head.Load() != headForwarded:
+		open.abandon(errStalled)
 	case s != nil:
 		s.start()
 	}
--- a/core/relayer/stream.go
+++ b/core/relayer/stream.go
@@ -124,10 +124,12 @@
 // forwardEvents forwards the events until the response ends.
 func (r *Relayer) forwardEvents(a *attempt, j *job) error {
 	if !j.headWritten {
+		if !a.open.head.CompareAndSwap(headPending, headForwarded) {
+			return errStalled
+		}
 		head := a.response.Head()
 		head.Length = -1
 		j.headWritten, j.status = true, head.Status
-		a.open.headWritten.Store(true)
 		if j.writer.WriteHead(head) != nil {
 			return errCallerDisconnected
 		}
--- a/internal/fake/backend.go
+++ b/internal/fake/backend.go
@@ -48,6 +48,8 @@
 // Backend is an in-memory backend server. Its exported fields must be set before it is used.
 type Backend struct {
 	Entry dragonflypass.ServerEntry
+	// TimeToHead is the time until the head of a stream.
+	TimeToHead time.Duration
 	// TimeToFirstChunk is the time until the response or its first event, and EventInterval the time between two events.
 	TimeToFirstChunk time.Duration
 	EventInterval    time.Duration
@@ -261,6 +263,8 @@
 		err = r.crashServer()
 	} else if !r.stream {
 		err = server.delay(ctx, server.TimeToFirstChunk)
+	} else {
+		err = wait(ctx, server.TimeToHead)
 	}
 	if err != nil {
 		r.Close()
