Keep the route table of a VM without proofs fresh enough for keys

What callers could see: a VM of a large fleet that hears from no hub refused requests with keys from time to time, with "keys cannot be checked", though it could read the store. Derived from the code, not seen in a fleet.

Cause: such a VM reads the store itself, after a random time of up to the mean interval between two reads, 4 s in a fleet of 160 VMs or more, from the staleness of 2.1 s on, and then 2 to 6 s after the last read. Keys are only accepted up to a staleness of 4.75 s.

Fix: the random times end 0.75 s before the revocation limit, 4.25 s; a slow read still ends in time. The mean time between two reads of a VM of such a fleet becomes 3.1 s instead of 4 s, and nothing changes in fleets of up to 86 VMs. The registry topic has no such limit.

--- a/core/composer/relay.go
+++ b/core/composer/relay.go
@@ -111,6 +111,9 @@
 	hubReadInterval      = 800 * time.Millisecond
 	spokeReadInterval    = 25 * time.Millisecond
 	maxSpokeReadInterval = 4 * time.Second
+	// routingReadTime is the time before the end of the freshness of keys at which a VM without proofs reads the routing topic
+	// at the latest. A slow store answers after 250 ms.
+	routingReadTime = 750 * time.Millisecond
 	// crashReportTimeout limits the time for reporting a crash to one VM.
 	crashReportTimeout = time.Second
 	// changeDuty and crashDuty are the duties of the hubs that forward changes of a topic and crash reports in their zones.
@@ -177,7 +180,9 @@
 	n.Routing = n.newFollower(dragonflypass.TopicRouting, dragonflypass.JobRouting, equalTables)
 	n.Routing.PollInterval = routingPollInterval
 	n.Routing.PollPolicy = func() follower.PollPolicy {
-		return n.pollPolicy(routingLongPoll, largeFleetLongPoll, routingMaxStaleness)
+		policy := n.pollPolicy(routingLongPoll, largeFleetLongPoll, routingMaxStaleness)
+		policy.StalenessLimit = o.RevokeLimit - routingReadTime
+		return policy
 	}
 	n.Registry = n.newFollower(dragonflypass.TopicServers, dragonflypass.JobRegistry, equalServers)
 	n.Registry.PollInterval = registryPollInterval
--- a/core/follower/follower.go
+++ b/core/follower/follower.go
@@ -43,6 +43,8 @@
 	// ReadInterval the mean time between two such reads. Their times are random: many VMs may lose their readers at once.
 	MaxStaleness time.Duration
 	ReadInterval time.Duration
+	// StalenessLimit is the staleness before which a read starts even if the mean time between two is longer; zero for none.
+	StalenessLimit time.Duration
 	// HasPeers is set if this VM has live neighbours, which provide the topic once one of them has read it.
 	HasPeers bool
 }
@@ -161,7 +163,7 @@
 	switch {
 	case !reader && f.loaded && now-f.freshAsOf <= policy.MaxStaleness:
 		// The next time that the copy is stale, the read starts after a random delay.
-		f.ownReadAt = f.freshAsOf + policy.MaxStaleness + randomDelay(policy.ReadInterval)
+		f.ownReadAt = f.freshAsOf + policy.MaxStaleness + policy.randomDelay(policy.MaxStaleness)
 		return f.endOffset, 0, false
 	case now < f.retryAt:
 		return f.endOffset, 0, false
@@ -170,12 +172,17 @@
 	case now < f.ownReadAt, !f.loaded && policy.HasPeers && now-f.startedAt < peerWaitTime:
 		return f.endOffset, 0, false
 	}
-	f.ownReadAt = now + policy.ReadInterval/2 + randomDelay(policy.ReadInterval)
+	f.ownReadAt = now + policy.ReadInterval/2 + policy.randomDelay(policy.ReadInterval/2)
 	return f.endOffset, 0, true
 }
 
-// randomDelay returns a random duration below the limit.
-func randomDelay(limit time.Duration) time.Duration {
+// randomDelay returns a random duration below the read interval, so that a copy with the given staleness does not reach the
+// staleness limit.
+func (p *PollPolicy) randomDelay(staleness time.Duration) time.Duration {
+	limit := p.ReadInterval
+	if p.StalenessLimit > 0 {
+		limit = min(limit, p.StalenessLimit-staleness)
+	}
 	if limit <= 0 {
 		return 0
 	}
--- a/core/follower/follower_test.go
+++ b/core/follower/follower_test.go
@@ -49,6 +49,33 @@
 	})
 }
 
+// TestVMWithoutProofsStaysFresh has a VM of a large fleet, which hears from no other VM, read the store itself.
+func TestVMWithoutProofsStaysFresh(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		const limit = 4250 * time.Millisecond
+		pool := &worker.Pool{Workers: 4, QueueLimit: 16, Meter: fake.NewMeter()}
+		clock, start := timer.New(pool), time.Now()
+		clock.TimeSinceBoot = func() time.Duration { return time.Since(start) + time.Hour }
+		f := newFollower()
+		f.Timer, f.Store = clock, &fake.StoreAccess{Store: fake.NewStore()}
+		f.PollInterval = 100 * time.Millisecond
+		f.PollPolicy = func() follower.PollPolicy {
+			return follower.PollPolicy{MaxStaleness: 2100 * time.Millisecond, ReadInterval: 4 * time.Second, StalenessLimit: limit}
+		}
+		for _, run := range []func(context.Context){pool.Run, clock.Run, f.Run} {
+			go run(t.Context())
+		}
+		time.Sleep(time.Second)
+		c.Assert(f.Loaded(), qt.IsTrue)
+		for range 3000 {
+			time.Sleep(100 * time.Millisecond)
+			freshAsOf, _ := f.FreshAsOf()
+			c.Assert(clock.Uptime()-freshAsOf <= limit+2*f.PollInterval, qt.IsTrue)
+		}
+	})
+}
+
 // rawStore decodes every record to itself.
 type rawStore struct{ dragonflypass.Store }
 
