Refuse the requests that still wait when a VM has to end

Cause: a VM that shuts down waits for its requests until half a second before SIGKILL and then closes the connections. A long prompt may still be waiting for its permit. Nothing was sent for it, and its caller could have gone to another VM.

Fix: 0.2 s before the connections are closed, the open exchanges end. Those without a response are refused, as not run if nothing was sent; streams in progress are cut as before, only 0.2 s sooner.

--- a/adapter/assembler/relay.go
+++ b/adapter/assembler/relay.go
@@ -37,6 +37,8 @@
 	minDrainTime = 2500 * time.Millisecond
 	// shutdownMargin is the time before SIGKILL that is reserved for closing servers and connections.
 	shutdownMargin = 500 * time.Millisecond
+	// refusalTime is the time before closing the ports in which the requests that have not ended are refused.
+	refusalTime = 200 * time.Millisecond
 	// registerTimeout is the maximum time of one attempt to register this VM in the store, and
 	// registerRetryInterval is the time between two attempts.
 	registerTimeout       = 2 * time.Second
@@ -240,6 +242,8 @@
 	n.adapters.Logger.Info("stopping", "requests", n.callers.Busy())
 	start := time.Now()
 	maxDrainTime := time.Duration(n.Settings.Times.ShutdownTimeout) - shutdownMargin
+	// A request that is still waiting then would end with its connection, without an answer.
+	defer time.AfterFunc(maxDrainTime-refusalTime, n.Core.Relayer.EndOpen).Stop()
 	for time.Since(start) < maxDrainTime && (time.Since(start) < minDrainTime || n.callers.Busy() > 0) && ctx.Err() == nil {
 		n.wait(ctx, drainPollInterval)
 	}
--- a/core/relayer/relayer.go
+++ b/core/relayer/relayer.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"context"
+	"errors"
 	"sync/atomic"
 	"time"
 
@@ -28,6 +29,8 @@
 	errStalled = eris.New("relayer: the stream has stalled")
 	// errServerUnreachable cancels a stream whose server is unreachable.
 	errServerUnreachable = eris.New("relayer: the server of the stream is unreachable")
+	// errLeaving cancels an exchange that has not ended when the VM shuts down.
+	errLeaving = eris.New("relayer: the VM is leaving")
 )
 
 const (
@@ -103,18 +106,28 @@
 
 	sequence atomic.Uint64
 
+	// open ends when EndOpen is called.
+	open    context.Context
+	endOpen context.CancelFunc
+
 	mutex   locker.Mutex
 	streams map[dragonflypass.StreamID]*openStream
 }
 
 // New returns a relayer without open streams.
 func New() *Relayer {
-	return &Relayer{
+	r := &Relayer{
 		mutex:   locker.Mutex{Order: locker.Permits},
 		streams: make(map[dragonflypass.StreamID]*openStream),
 	}
+	r.open, r.endOpen = context.WithCancel(context.Background())
+	return r
 }
 
+// EndOpen ends the open exchanges at the end of a shutdown: those without a response are refused, so that their callers are
+// told whether they may have run.
+func (r *Relayer) EndOpen() { r.endOpen() }
+
 // Run sweeps the open streams periodically until ctx ends.
 func (r *Relayer) Run(ctx context.Context) {
 	stop := r.Timer.Every(dragonflypass.JobSweep, sweepInterval, r.Sweep)
@@ -186,6 +199,9 @@
 	}
 	r.Meter.Add(dragonflypass.CountAdmitted, 1)
 	r.Budgets.Deposit(j.service)
+	ctx, cancelOpen := context.WithCancelCause(ctx)
+	defer cancelOpen(nil)
+	defer context.AfterFunc(r.open, func() { cancelOpen(errLeaving) })()
 	ctx, cancel := r.Timer.WithDeadline(ctx, j.deadline)
 	defer cancel()
 	serve := r.serveBuffered
@@ -290,6 +306,8 @@
 	switch {
 	case ctx.Err() != nil && !r.Timer.Now().Before(j.deadline):
 		refusal.Reason, refusal.Detail = dragonflypass.ReasonTimeout, "the request did not finish before its deadline"
+	case errors.Is(context.Cause(ctx), errLeaving):
+		refusal.Reason, refusal.RetryAfter, refusal.Detail = dragonflypass.ReasonLeaving, otherVMRetryAfter, "the VM is leaving"
 	case ctx.Err() != nil:
 		refusal.Reason, refusal.Detail = dragonflypass.ReasonCancelled, "the caller has disconnected"
 	}
