Log which requests a crash interrupted, and the parts of their prompts

The logs could not tell whether a crash of a server had been noticed, by whom, and what the interrupted requests had in common: parts of prompts were not decoded, and an interrupted request for which nothing was reported left no line. No decision changes.

--- a/core/relayer/attempt.go
+++ b/core/relayer/attempt.go
@@ -94,7 +94,7 @@
 	if !errors.Is(err, errSuperseded) {
 		j.excluded = append(j.excluded, a.permit.Server)
 	}
-	r.checkForCrash(a.ctx, j, a.permit.Server, err)
+	r.checkForCrash(a.ctx, j, a.permit.Server, a.open.prefilled.Load(), err)
 	r.Permits.Release(a.permit, dragonflypass.PermitRelease{
 		Stream: a.permit.Stream, Server: a.permit.Server, Outcome: outcomeOf(a.ctx, err), FaultyHelper: faultyHelper(a.permit, err),
 		Leaving: permitServers(a.permit, r.Excluder.Leaving),
--- a/core/relayer/buffered.go
+++ b/core/relayer/buffered.go
@@ -112,7 +112,7 @@
 		outcome = assessor.Failed
 	default:
 		outcome = outcomeUnlessCancelled(ctx, assessor.Failed)
-		r.checkForCrash(ctx, j, entry.ID, err)
+		r.checkForCrash(ctx, j, entry.ID, false, err)
 	}
 	r.Balancer.RecordOutcome(entry.ID, outcome, loadOf(resp))
 	return result{entry: entry, response: resp, err: err, duration: r.Timer.Now().Sub(start)}
--- a/core/relayer/crash.go
+++ b/core/relayer/crash.go
@@ -13,8 +13,9 @@
 const crashCheckDelay = 400 * time.Millisecond
 
 // checkForCrash records a successful request with the quarantiner. If the server interrupted the request, it
-// probes the server and reports a crash with the request's fingerprint if the server turns out to be unreachable.
-func (r *Relayer) checkForCrash(ctx context.Context, j *job, server dragonflypass.ServerID, err error) {
+// probes the server and reports a crash with the request's fingerprint if the server turns out to be unreachable. begun is
+// set if the server had sent an event of its answer.
+func (r *Relayer) checkForCrash(ctx context.Context, j *job, server dragonflypass.ServerID, begun bool, err error) {
 	fingerprint := fingerprintOf(j.match, j.exchange)
 	if err == nil {
 		r.Quarantiner.RecordSuccess(fingerprint)
@@ -22,19 +23,27 @@
 	}
 	interrupted := errors.Is(err, dragonflypass.ErrUncertain) || errors.Is(err, dragonflypass.ErrBroken)
 	entry, listed := r.Directory.Server(server)
-	if !interrupted || ctx.Err() != nil || !listed {
+	if !interrupted {
+		return
+	}
+	fields := []any{"id", j.exchange.ID, "server", server, "begun", begun, "account", j.match.Account, "parts", j.exchange.PromptParts}
+	if ctx.Err() != nil || !listed {
+		r.Logger.Info("interrupted request not checked", append(fields, "listed", listed, "cause", context.Cause(ctx))...)
 		return
 	}
 	r.Prober.ProbeServer(server)
 	now := r.Timer.Now()
 	r.Timer.At(dragonflypass.JobSweep, now.Add(crashCheckDelay), func(context.Context) {
 		if !r.Assessor.Unreachable(server) {
+			r.Logger.Info("interrupted request, server reachable", fields...)
 			return
 		}
 		crash := dragonflypass.ServerCrash{
 			Server: server, Epoch: uint64(entry.StartedAt), Fingerprints: []dragonflypass.Fingerprint{fingerprint}, At: now,
 		}
-		if r.Quarantiner.RecordCrash(crash) {
+		isNew := r.Quarantiner.RecordCrash(crash)
+		r.Logger.Info("server crashed", append(fields, "epoch", crash.Epoch, "first_report", isNew)...)
+		if isNew {
 			r.Crashes.BroadcastCrash(crash)
 		}
 	})
