--- a/adapter/messenger/messenger_test.go
+++ b/adapter/messenger/messenger_test.go
@@ -13,6 +13,7 @@
 	"net/http/httptest"
 	"net/netip"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -79,9 +80,16 @@
 
 // connect starts a server for the peer and returns a client and the server's VM.
 func connect(t *testing.T, peer *fakePeer, tlsConfig *tls.Config) (*messenger.Client, dragonflypass.VM) {
+	t.Helper()
+	client, vm, _ := connectPool(t, peer, tlsConfig)
+	return client, vm
+}
+
+// connectPool starts a server for the peer and returns a client, the server's VM and the server's pool.
+func connectPool(t *testing.T, peer dragonflypass.PeerHandler, tlsConfig *tls.Config) (*messenger.Client, dragonflypass.VM, *worker.Pool) {
 	t.Helper()
 	meter := fake.NewMeter()
-	pool := &worker.Pool{Workers: 4, QueueLimit: 100, Meter: meter}
+	pool := &worker.Pool{Workers: 4, QueueLimit: 1000, Meter: meter}
 	ctx, cancel := context.WithCancel(context.Background())
 	go pool.Run(ctx)
 	server := messenger.NewServer()
@@ -101,7 +109,7 @@
 		listener.Close()
 		cancel()
 	})
-	return client, dragonflypass.VM{ID: "vm-2", Peer: netip.MustParseAddrPort(listener.Listener.Addr().String())}
+	return client, dragonflypass.VM{ID: "vm-2", Peer: netip.MustParseAddrPort(listener.Listener.Addr().String())}, pool
 }
 
 func request() dragonflypass.PermitRequest {
@@ -243,3 +251,49 @@
 		Certificates: []tls.Certificate{{Certificate: [][]byte{der}, PrivateKey: key}},
 	}
 }
+
+// countingPeer counts the crash reports that it receives.
+type countingPeer struct {
+	*fakePeer
+	reports sync.WaitGroup
+}
+
+func (p *countingPeer) ReportCrash(dragonflypass.ServerCrash) { p.reports.Done() }
+
+// TestVMsThatReportCrashesDoNotBlockEachOther lets all workers of two VMs report crashes to the other VM at the same time.
+func TestVMsThatReportCrashesDoNotBlockEachOther(t *testing.T) {
+	c := qt.New(t)
+	const reports = 200
+	// limit is much longer than the reports take, and shorter than a second for each of them.
+	const limit = 10 * time.Second
+	ctx, cancel := context.WithTimeout(t.Context(), limit)
+	defer cancel()
+	peers := [2]*countingPeer{{fakePeer: newFakePeer()}, {fakePeer: newFakePeer()}}
+	var clients [2]*messenger.Client
+	var pools [2]*worker.Pool
+	var vms [2]dragonflypass.VM
+	for i := range vms {
+		clients[i], vms[i], pools[i] = connectPool(t, peers[i], nil)
+	}
+	var failed atomic.Int64
+	var sent sync.WaitGroup
+	for range reports {
+		for i := range vms {
+			sent.Add(1)
+			peers[i].reports.Add(1)
+			// The client of a VM sends to the server of that VM, so the jobs of the other VM's workers call it.
+			accepted := pools[1-i].Submit(dragonflypass.JobPeer, func(context.Context) {
+				defer sent.Done()
+				if clients[i].ReportCrash(ctx, vms[i], dragonflypass.ServerCrash{Server: "s"}) != nil {
+					failed.Add(1)
+				}
+			})
+			c.Assert(accepted, qt.IsTrue)
+		}
+	}
+	sent.Wait()
+	c.Assert(failed.Load(), qt.Equals, int64(0))
+	for i := range peers {
+		peers[i].reports.Wait()
+	}
+}
