--- /dev/null
+++ b/core/composer/part_test.go
@@ -0,0 +1,144 @@
+package composer_test
+
+import (
+	"fmt"
+	"slices"
+	"sync"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/dragonflypass/dragonflypass"
+	"github.com/dragonflypass/dragonflypass/internal/fake"
+)
+
+const (
+	// serverDowntime is how long a crashed server is down.
+	serverDowntime = 3 * time.Second
+	// containmentTime is the time after the fifth crash from which requests with the part may reach no more servers, but for
+	// lateArrivals of them.
+	containmentTime = 3 * time.Second
+	lateArrivals    = 3
+)
+
+// crashRecorder restarts servers that have crashed, and records the crashes.
+type crashRecorder struct {
+	site  *fake.RelaySite
+	mutex sync.Mutex
+	times []time.Time
+}
+
+// watch restarts each server serverDowntime after a request has crashed it.
+func watch(s *fake.RelaySite) *crashRecorder {
+	r := &crashRecorder{site: s}
+	for _, b := range s.ModelServers {
+		b.Crashed = r.record
+	}
+	return r
+}
+
+func (r *crashRecorder) record(b *fake.Backend) {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	r.times = append(r.times, time.Now())
+	time.AfterFunc(serverDowntime, func() {
+		b.Entry.StartedAt++
+		b.SetFault(fake.BackendHealthy)
+		r.site.Register(b, dragonflypass.ServerReady)
+	})
+}
+
+// crashTimes returns the times of the crashes in order.
+func (r *crashRecorder) crashTimes() []time.Time {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	return slices.Clone(r.times)
+}
+
+// newPartExchange returns a request with a short prompt that shares the parts with others.
+func newPartExchange(id string, parts ...dragonflypass.PromptPart) *dragonflypass.Exchange {
+	e := fake.NewExchange(id, "/stream/x", 500)
+	slices.Sort(parts)
+	e.PromptParts = parts
+	return e
+}
+
+// trafficResult is a request of mixed traffic, with the time at which it was sent and its response.
+type trafficResult struct {
+	crashing bool
+	sentAt   time.Time
+	id       string
+	response *fake.ResponseRecorder
+}
+
+// sendMixedTraffic sends requests through the VMs in turn for the duration. Every twentieth has the part that crashes servers
+// beside the part that most sound requests have; its caller sends it once more if it fails.
+func sendMixedTraffic(s *fake.RelaySite, duration time.Duration) []trafficResult {
+	const interval, crashInterval, sharedParts = 28 * time.Millisecond, 20, 12
+	var wg sync.WaitGroup
+	var mutex sync.Mutex
+	var results []trafficResult
+	send := func(node int, crashing bool, e *dragonflypass.Exchange) *fake.ResponseRecorder {
+		result := trafficResult{crashing: crashing, sentAt: time.Now(), id: e.ID}
+		result.response = s.Send(node, e)
+		mutex.Lock()
+		defer mutex.Unlock()
+		results = append(results, result)
+		return result.response
+	}
+	start := time.Now()
+	for i := 0; time.Since(start) < duration; i++ {
+		node := i % len(s.Nodes)
+		wg.Go(func() {
+			if i%crashInterval != 0 {
+				shared := dragonflypass.PromptPart(fmt.Sprintf("shared-%d", i%sharedParts/2))
+				send(node, false, newPartExchange(fmt.Sprintf("sound-%d", i), shared))
+				return
+			}
+			id := fmt.Sprintf("crashing-%d", i)
+			if send(node, true, newPartExchange(id, fake.CrashPart, "shared-0")).Err != nil {
+				retry := newPartExchange(id, fake.CrashPart, "shared-0")
+				retry.ID += "-again"
+				send((node+1)%len(s.Nodes), true, retry)
+			}
+		})
+		time.Sleep(interval)
+	}
+	wg.Wait()
+	return results
+}
+
+// checkContained checks that requests with the part that crashes servers no longer reach any once that part must be known,
+// and that sound requests, also those with the other part of such prompts, are served.
+func checkContained(c *qt.C, s *fake.RelaySite, crashes []time.Time, results []trafficResult) {
+	c.Helper()
+	c.Assert(len(crashes) > 0, qt.IsTrue)
+	knownAt := crashes[min(len(crashes), 5)-1].Add(containmentTime)
+	arrivals, sound, served := 0, 0, 0
+	for _, result := range results {
+		switch {
+		case !result.sentAt.After(knownAt):
+		case result.crashing:
+			arrivals += executionCount(s.ModelServers, result.id)
+		default:
+			sound++
+			if result.response.Complete(s.ModelServers[0].Events) {
+				served++
+			}
+		}
+	}
+	c.Check(arrivals <= lateArrivals, qt.IsTrue, qt.Commentf("%d late requests with the part reached servers", arrivals))
+	c.Check(sound > 100, qt.IsTrue, qt.Commentf("%d sound requests", sound))
+	c.Check(served, qt.Equals, sound, qt.Commentf("%d servers crashed in all", len(crashes)))
+}
+
+// TestPromptPartCrashesServersOneAfterTheOther sends, among sound requests, different ones that have one part in common which
+// crashes every server.
+func TestPromptPartCrashesServersOneAfterTheOther(t *testing.T) {
+	withRelaySite(t, 9, 1, 18, func(c *qt.C, s *fake.RelaySite) {
+		recorder := watch(s)
+		results := sendMixedTraffic(s, 12*time.Second)
+		checkContained(c, s, recorder.crashTimes(), results)
+	})
+}
--- a/internal/fake/backend.go
+++ b/internal/fake/backend.go
@@ -7,6 +7,7 @@
 	"maps"
 	"net/http"
 	"net/netip"
+	"slices"
 	"strconv"
 	"sync"
 	"time"
@@ -45,6 +46,9 @@
 // CrashBody is the body of a request that crashes every server that runs it.
 const CrashBody = "crash"
 
+// CrashPart is a part of prompts that crashes every server as it begins to generate the answer.
+const CrashPart = dragonflypass.PromptPart("crash")
+
 // Backend is an in-memory backend server. Its exported fields must be set before it is used.
 type Backend struct {
 	Entry dragonflypass.ServerEntry
@@ -56,6 +60,9 @@
 	// Events is the number of events in a stream.
 	Events int
 
+	// Crashed is called after a request has crashed the server; nil for nothing.
+	Crashed func(*Backend)
+
 	mutex        sync.Mutex
 	fault        BackendFault
 	faultChanged chan struct{}
@@ -255,6 +262,7 @@
 	b.setUser(request.Helpers, server)
 	r := &backendResponse{ctx: ctx, server: server, fault: fault, start: time.Now(), stream: request.EventStream}
 	r.onClose = func() { b.setUser(request.Helpers, nil) }
+	r.crashes = slices.Contains(request.Exchange.PromptParts, CrashPart)
 	r.head = dragonflypass.ResponseHead{Status: http.StatusOK, Signed: fault != BackendUnsigned, EventStream: r.stream}
 	if fault == BackendFailing {
 		r.head.Status, r.stream, r.head.EventStream = http.StatusInternalServerError, false, false
@@ -281,10 +289,18 @@
 	if err := r.server.delay(r.ctx, crashDelay); err != nil {
 		return err
 	}
-	r.server.mutex.Lock()
-	r.server.crashCount++
-	r.server.mutex.Unlock()
-	r.server.SetFault(BackendDown)
+	return r.server.crash()
+}
+
+// crash takes the server down and returns ErrBroken.
+func (b *Backend) crash() error {
+	b.mutex.Lock()
+	b.crashCount++
+	b.mutex.Unlock()
+	b.SetFault(BackendDown)
+	if b.Crashed != nil {
+		b.Crashed(b)
+	}
 	return dragonflypass.ErrBroken
 }
 
@@ -379,6 +395,8 @@
 	sentEvents int
 	closed     bool
 	onClose    func()
+	// crashes is set if the request crashes the server at its first event.
+	crashes bool
 }
 
 // Head returns the head of the response.
@@ -399,6 +417,9 @@
 	if err := r.server.delay(r.ctx, eventDelay); err != nil {
 		return dragonflypass.Chunk{}, errors.Join(dragonflypass.ErrBroken, err)
 	}
+	if r.crashes {
+		return dragonflypass.Chunk{}, r.server.crash()
+	}
 	if r.fault == BackendBreakingStreams && r.sentEvents == BreakAfter {
 		return dragonflypass.Chunk{}, dragonflypass.ErrBroken
 	}
