Remove old crashes on a relay, and bound the tables of suspects

A relay kept every interrupted request, crash and completed request until it ended, up to 50,000 of the last and any number of the others, and callers whose requests crash servers could make it keep as many as they liked. A report of a crash also occupied a worker for a second for each VM that is down; those VMs learn from heartbeats when they are back.

Evidence: a suspect is still listed two minutes after its time, and 25,000 crashes leave 25,000 suspects and crashes; with this change none, and at most 20,000 of each.

--- a/core/composer/part_test.go
+++ b/core/composer/part_test.go
@@ -142,3 +142,16 @@
 		checkContained(c, s, recorder.crashTimes(), results)
 	})
 }
+
+func TestRelayForgetsSuspectsInTime(t *testing.T) {
+	withRelaySite(t, 2, 1, 2, func(c *qt.C, s *fake.RelaySite) {
+		watch(s)
+		s.Send(0, newPartExchange("crashing", fake.CrashPart))
+		c.Assert(s.Nodes[0].Quarantiner.Suspects(), qt.HasLen, 1)
+		const suspectDuration, sweepInterval = 10 * time.Minute, time.Minute
+		time.Sleep(suspectDuration + 2*sweepInterval)
+		for _, n := range s.Nodes {
+			c.Check(n.Quarantiner.Suspects(), qt.HasLen, 0)
+		}
+	})
+}
--- a/core/composer/relay.go
+++ b/core/composer/relay.go
@@ -15,7 +15,6 @@
 	"github.com/dragonflypass/dragonflypass/core/balancer"
 	"github.com/dragonflypass/dragonflypass/core/connector"
 	"github.com/dragonflypass/dragonflypass/core/detector"
-	"github.com/dragonflypass/dragonflypass/core/elector"
 	"github.com/dragonflypass/dragonflypass/core/excluder"
 	"github.com/dragonflypass/dragonflypass/core/follower"
 	"github.com/dragonflypass/dragonflypass/core/handler"
@@ -431,7 +430,7 @@
 // Run runs the components until ctx ends. The pool and the timer must be running already.
 func (n *Relay) Run(ctx context.Context) {
 	var wg sync.WaitGroup
-	for _, run := range []func(context.Context){n.Detector.Run, n.Routing.Run, n.Registry.Run, n.Registrar.Run, n.Allocator.Run, n.Excluder.Run, n.Prober.Run, n.Relayer.Run} {
+	for _, run := range []func(context.Context){n.Detector.Run, n.Routing.Run, n.Registry.Run, n.Registrar.Run, n.Allocator.Run, n.Excluder.Run, n.Prober.Run, n.Quarantiner.Run, n.Relayer.Run} {
 		wg.Go(func() { run(ctx) })
 	}
 	wg.Wait()
@@ -458,13 +457,10 @@
 
 // sendCrash reports the crash to the members that match. It logs the VMs that it cannot reach.
 func (n *Relay) sendCrash(crash dragonflypass.ServerCrash, matches func(dragonflypass.Member) bool) {
-	members := n.Detector.Others()
-	if n.largeFleet() {
-		// Most of the others are VMs of which this one only knows that they are listed.
-		members = elector.Live(members)
-	}
-	for _, member := range members {
-		if !matches(member) {
+	for _, member := range n.Detector.Others() {
+		// A worker would wait for each VM that is down. Those that return learn of quarantined parts from heartbeats.
+		isUp := member.State == dragonflypass.MemberLive || member.State == dragonflypass.MemberLeaving
+		if !isUp || !matches(member) {
 			continue
 		}
 		n.Ports.Pool.Submit(dragonflypass.JobPeer, func(ctx context.Context) {
--- a/core/quarantiner/export_test.go
+++ b/core/quarantiner/export_test.go
@@ -4,3 +4,6 @@
 func (q *Quarantiner) PartCounts() (records, begun int) {
 	return len(q.parts.records), len(q.parts.begun) + len(q.parts.previousBegun)
 }
+
+// CrashCounts returns the number of suspected and quarantined requests, and the number of recorded crashes.
+func (q *Quarantiner) CrashCounts() (suspects, crashes int) { return len(q.suspects), len(q.crashes) }
--- a/core/quarantiner/parts.go
+++ b/core/quarantiner/parts.go
@@ -268,27 +268,13 @@
 	return record.count
 }
 
-// record returns the record of the part. It creates the record if there is none, and removes another one if there are too
-// many: of some, the one with the fewest crashes.
+// record returns the record of the part, and creates it if there is none.
 func (t *partTable) record(key partKey) *partRecord {
 	record, ok := t.records[key]
 	if ok {
 		return record
 	}
-	if len(t.records) >= maxPartRecords {
-		const sampleSize = 16
-		var victim partKey
-		var sampled int
-		for candidate, r := range t.records {
-			if sampled == 0 || r.weight() < t.records[victim].weight() {
-				victim = candidate
-			}
-			if sampled++; sampled == sampleSize {
-				break
-			}
-		}
-		delete(t.records, victim)
-	}
+	evictIfFull(t.records, maxPartRecords, func(a, b *partRecord) bool { return a.weight() < b.weight() })
 	record = &partRecord{}
 	t.records[key] = record
 	return record
--- a/core/quarantiner/parts_test.go
+++ b/core/quarantiner/parts_test.go
@@ -288,3 +288,16 @@
 	c.Check(begun <= 2*8192, qt.IsTrue, qt.Commentf("%d", begun))
 	c.Check(len(s.PartStatuses()) <= 64, qt.IsTrue)
 }
+
+// TestCrashesTakeLimitedMemory records more crashes, by different requests, than are kept.
+func TestCrashesTakeLimitedMemory(t *testing.T) {
+	c := qt.New(t)
+	s := newSite(newClock())
+	const crashes, limit = 25_000, 20_000
+	for i := range crashes {
+		s.RecordCrash(s.newCrash(suspect{"a", fmt.Sprint(i), nil}))
+	}
+	suspects, recorded := s.CrashCounts()
+	c.Check(suspects <= limit, qt.IsTrue, qt.Commentf("%d", suspects))
+	c.Check(recorded <= limit, qt.IsTrue, qt.Commentf("%d", recorded))
+}
--- a/core/quarantiner/quarantiner.go
+++ b/core/quarantiner/quarantiner.go
@@ -1,6 +1,7 @@
 package quarantiner
 
 import (
+	"context"
 	"time"
 
 	"github.com/dragonflypass/dragonflypass"
@@ -22,6 +23,11 @@
 	successLimit = 50_000
 	// maxCrashSuspects is the largest number of suspects that are counted for one crash.
 	maxCrashSuspects = 64
+	// maxSuspects is the largest number of suspected and quarantined requests that are kept, and maxCrashes that of crashes.
+	maxSuspects = 20_000
+	maxCrashes  = 20_000
+	// sweepInterval is the time between two sweeps.
+	sweepInterval = time.Minute
 )
 
 // Decision is the result of checking whether a request may run.
@@ -85,6 +91,13 @@
 	}
 }
 
+// Run sweeps the tables periodically until ctx ends.
+func (q *Quarantiner) Run(ctx context.Context) {
+	stop := q.Timer.Every(dragonflypass.JobSweep, sweepInterval, func(context.Context) { q.Sweep() })
+	defer stop()
+	<-ctx.Done()
+}
+
 // RecordCrash records that a server crashed while running the requests with the fingerprints. It reports whether
 // the crash, or one of its suspects, is a new one.
 func (q *Quarantiner) RecordCrash(crash dragonflypass.ServerCrash) bool {
@@ -94,6 +107,7 @@
 	record, known := q.crashes[key]
 	var causes []dragonflypass.Fingerprint
 	if !known {
+		evictIfFull(q.crashes, maxCrashes, func(a, b *crashRecord) bool { return a.recordedAt.Before(b.recordedAt) })
 		record = &crashRecord{recordedAt: now, reported: make(map[dragonflypass.Fingerprint]bool)}
 		q.crashes[key] = record
 		causes = q.likelyCauses(crash.Fingerprints, now)
@@ -225,6 +239,7 @@
 func (q *Quarantiner) countCrash(fingerprint dragonflypass.Fingerprint, now time.Time) bool {
 	s, ok := q.suspects[fingerprint]
 	if !ok || !now.Before(s.expiresAt) {
+		evictIfFull(q.suspects, maxSuspects, func(a, b *suspect) bool { return a.expiresAt.Before(b.expiresAt) })
 		s = &suspect{}
 		q.suspects[fingerprint] = s
 	}
@@ -283,6 +298,25 @@
 	return AllowedAlone
 }
 
+// evictIfFull removes an entry from a table that has reached its limit: of some, the least.
+func evictIfFull[K comparable, V any](table map[K]V, limit int, less func(a, b V) bool) {
+	if len(table) < limit {
+		return
+	}
+	const sampleSize = 16
+	var least K
+	sampled := 0
+	for key, value := range table {
+		if sampled == 0 || less(value, table[least]) {
+			least = key
+		}
+		if sampled++; sampled == sampleSize {
+			break
+		}
+	}
+	delete(table, least)
+}
+
 // Sweep removes expired crashes, completed requests and suspects.
 func (q *Quarantiner) Sweep() {
 	now := q.Timer.Now()
