Do not pass on requests that a shutdown would cut

Here: a request was accepted by the time at which its head arrived. One whose body took until the end of the shutdown, or that waited for a permit or for another server, was still sent on, and its connection closed within the same second. Now nothing is sent to a server later than 2.8 s after the start of the shutdown unless the request's deadline is before its end; a request that waits then is refused at once, as not run, and its caller may use another VM.

A site without a limit on shutdowns sends requests as before.

--- a/adapter/assembler/relay.go
+++ b/adapter/assembler/relay.go
@@ -121,6 +121,7 @@
 		Self: settings.VM(), Incarnation: uint64(time.Now().UnixNano()), Seeds: settings.Seeds,
 		HeartbeatInterval: time.Duration(settings.Times.HeartbeatInterval), RetryRatio: settings.Budget.Ratio, RetryBurst: settings.Budget.Burst,
 		RevokeLimit: time.Duration(settings.Times.RevokeLimit), ApplyLimit: time.Duration(settings.Times.ApplyLimit),
+		ShutdownTime: maxDrainTime(settings) - refusalTime,
 	}, composer.RelayPorts{
 		Timer: ports.Timer, Pool: ports.Pool, Store: ports.Store, Backend: ports.Backend, Meter: ports.Meter, Logger: ports.Logger,
 		Peers: ports.Peers, Directory: ports.Directory,
@@ -241,13 +242,13 @@
 	n.Core.Leave(ctx)
 	n.adapters.Logger.Info("stopping", "requests", n.callers.Busy())
 	start := time.Now()
-	maxDrainTime := time.Duration(n.Settings.Times.ShutdownTimeout) - shutdownMargin
+	drainTime := maxDrainTime(n.Settings)
 	// A request that is still waiting then would end with its connection, without an answer.
-	defer time.AfterFunc(maxDrainTime-refusalTime, n.Core.Relayer.EndOpen).Stop()
-	for time.Since(start) < maxDrainTime && (time.Since(start) < minDrainTime || n.callers.Busy() > 0) && ctx.Err() == nil {
+	defer time.AfterFunc(drainTime-refusalTime, n.Core.Relayer.EndOpen).Stop()
+	for time.Since(start) < drainTime && (time.Since(start) < minDrainTime || n.callers.Busy() > 0) && ctx.Err() == nil {
 		n.wait(ctx, drainPollInterval)
 	}
-	closeServers(ctx, n.servers, start.Add(maxDrainTime))
+	closeServers(ctx, n.servers, start.Add(drainTime))
 	n.adapters.Logger.Info("stopped", "requests", n.callers.Busy())
 	n.peers.Close()
 	n.adapters.Client.Close()
@@ -259,6 +260,11 @@
 	return nil
 }
 
+// maxDrainTime returns the maximum time from SIGTERM to the end of the last request.
+func maxDrainTime(settings *loader.RelaySettings) time.Duration {
+	return time.Duration(settings.Times.ShutdownTimeout) - shutdownMargin
+}
+
 // closeServers closes the ports and waits until the requests in progress have ended, at the latest until the deadline.
 // Requests may have arrived since the last check for requests in progress.
 func closeServers(ctx context.Context, servers []*http.Server, deadline time.Time) {
--- a/core/composer/relay.go
+++ b/core/composer/relay.go
@@ -58,6 +58,9 @@
 	RetryBurst float64
 	// ApplyLimit is the time within which a new route table must be in effect.
 	ApplyLimit time.Duration
+	// ShutdownTime is the time from the start of a shutdown until the requests that have not ended are refused, zero if there is
+	// no limit.
+	ShutdownTime time.Duration
 }
 
 // Relay holds the components that make the decisions of one relay node: an entry VM that relays the platform's exchanges.
@@ -280,6 +283,7 @@
 	l.Self, l.Incarnation, l.Timer, l.Backend = o.Self, o.Incarnation, p.Timer, p.Backend
 	l.Meter, l.Logger, l.Router, l.Directory, l.Balancer = p.Meter, p.Logger, n.Router, n.Registrar, n.Balancer
 	l.Permits, l.Budgets, l.LeavingSince, l.ServerUnreachable = n.Acquirer, n.Budgets, n.Detector.LeavingSince, n.recordUnreachable
+	l.ShutdownTime = o.ShutdownTime
 	l.Prober, l.Assessor, l.Excluder = n.Prober, n.Assessor, n.Excluder
 	l.Loaded = []<-chan struct{}{n.Routing.LoadedDone(), n.Registry.LoadedDone()}
 	l.Quarantiner, l.Crashes = n.Quarantiner, n
--- a/core/relayer/attempt.go
+++ b/core/relayer/attempt.go
@@ -29,16 +29,28 @@
 	freeMemory func()
 }
 
-// begin waits for a permit and begins an attempt. It returns a Refusal if the request has been quarantined meanwhile.
+// begin waits for a permit and begins an attempt. It returns a Refusal if the request must not be sent, also if that becomes
+// known while it waits.
 func (r *Relayer) begin(ctx context.Context, j *job) (*attempt, error) {
-	if refusal := r.Quarantiner.Refuses(j.fingerprint(), j.exchange.PromptParts); refusal != nil {
+	if refusal := r.refusalToSend(j); refusal != nil {
 		return nil, refusal
 	}
+	waitCtx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	waiting := *j
+	defer context.AfterFunc(r.accepting, func() {
+		if !r.mayStart(&waiting) {
+			cancel(errLeaving)
+		}
+	})()
 	request := r.permitRequest(j)
-	permit, err := r.Permits.Acquire(ctx, request)
+	permit, err := r.Permits.Acquire(waitCtx, request)
 	for err == nil && r.returnExcluded(j, permit) {
 		request = r.permitRequest(j)
-		permit, err = r.Permits.Acquire(ctx, request)
+		permit, err = r.Permits.Acquire(waitCtx, request)
+	}
+	if err != nil && ctx.Err() == nil && errors.Is(context.Cause(waitCtx), errLeaving) {
+		return nil, leavingRefusal()
 	}
 	if err != nil {
 		return nil, err
@@ -46,13 +58,21 @@
 	a := &attempt{permit: permit, startedAt: r.Timer.Now()}
 	a.ctx, a.cancel = context.WithCancelCause(ctx)
 	a.open = r.register(j, request, permit, a.cancel)
-	if refusal := r.Quarantiner.Refuses(j.fingerprint(), j.exchange.PromptParts); refusal != nil {
+	if refusal := r.refusalToSend(j); refusal != nil {
 		r.returnUnused(a)
 		return nil, refusal
 	}
 	return a, nil
 }
 
+// refusalToSend returns the reason why the request must not be sent to a server, or nil.
+func (r *Relayer) refusalToSend(j *job) *dragonflypass.Refusal {
+	if !r.mayStart(j) {
+		return leavingRefusal()
+	}
+	return r.Quarantiner.Refuses(j.fingerprint(), j.exchange.PromptParts)
+}
+
 // sendStream reserves the memory at the helpers, sends the request and waits for the head of the response. It counts the attempt
 // or the refusal.
 func (r *Relayer) sendStream(a *attempt, j *job) error {
--- a/core/relayer/buffered.go
+++ b/core/relayer/buffered.go
@@ -36,7 +36,7 @@
 	// lastResponse is the latest response that reported a failure.
 	var lastResponse *response
 	for {
-		refusal := r.Quarantiner.Refuses(j.fingerprint(), j.exchange.PromptParts)
+		refusal := r.refusalToSend(j)
 		if refusal != nil && lastResponse == nil {
 			return r.refuse(ctx, j, refusal.Reason, refusal.RetryAfter, refusal.Detail)
 		}
--- a/core/relayer/open.go
+++ b/core/relayer/open.go
@@ -172,12 +172,16 @@
 	r.HandleHeartbeat(dragonflypass.Heartbeat{From: r.Self, Incarnation: r.Incarnation, GrantedStreams: granted, InheritedStreams: inherited})
 }
 
-// Sweep renews the leases of the open streams at servers that this VM owns. It replaces the attempts of streams that have
+// Sweep renews the leases of the open streams at servers that this VM owns, and ends the acceptance of requests during a
+// shutdown. It replaces the attempts of streams that have
 // stalled or whose servers are unreachable, and probes the servers of streams that are about to stall or that keep memory
 // reserved.
 func (r *Relayer) Sweep(context.Context) {
 	r.RenewLocalLeases()
 	now := r.Timer.Now()
+	if leavingSince := r.LeavingSince(); !leavingSince.IsZero() && now.Sub(leavingSince) > shutdownAcceptTime {
+		r.endAccepting()
+	}
 	var stalling []*openStream
 	r.mutex.Lock()
 	for _, open := range r.streams {
--- a/core/relayer/relayer.go
+++ b/core/relayer/relayer.go
@@ -40,9 +40,9 @@
 	defaultRetryAfter = 200 * time.Millisecond
 	// refusalLimit is the maximum number of refusals by servers after which a request may still be sent to another one.
 	refusalLimit = 3
-	// shutdownAcceptTime is the time after the start of a shutdown during which requests are still accepted. The load
-	// balancer needs two failed health checks, one second apart, to stop sending requests, and requests accepted later
-	// might not finish before SIGKILL.
+	// shutdownAcceptTime is the time after the start of a shutdown during which requests are still accepted and sent to
+	// servers. The load balancer needs two failed health checks, one second apart, to stop sending requests, and requests
+	// sent later might not finish before SIGKILL.
 	shutdownAcceptTime = 2800 * time.Millisecond
 	// maxLoadTime is the maximum time that a request waits for the route table and the registry to be read.
 	maxLoadTime = 500 * time.Millisecond
@@ -101,14 +101,18 @@
 	Loaded []<-chan struct{}
 	// LeavingSince returns the time at which this VM's shutdown began, or the zero time before a shutdown.
 	LeavingSince func() time.Time
+	// ShutdownTime is the time from the start of a shutdown until EndOpen is called, zero if there is no limit.
+	ShutdownTime time.Duration
 	// ServerUnreachable is called with a server to which no connection could be established.
 	ServerUnreachable func(server dragonflypass.ServerID)
 
 	sequence atomic.Uint64
 
-	// open ends when EndOpen is called.
-	open    context.Context
-	endOpen context.CancelFunc
+	// open ends when EndOpen is called, and accepting when the acceptance of requests ends during a shutdown.
+	open         context.Context
+	endOpen      context.CancelFunc
+	accepting    context.Context
+	endAccepting context.CancelFunc
 
 	mutex   locker.Mutex
 	streams map[dragonflypass.StreamID]*openStream
@@ -121,6 +125,7 @@
 		streams: make(map[dragonflypass.StreamID]*openStream),
 	}
 	r.open, r.endOpen = context.WithCancel(context.Background())
+	r.accepting, r.endAccepting = context.WithCancel(context.Background())
 	return r
 }
 
@@ -179,7 +184,7 @@
 	r.awaitLoaded(ctx)
 	match, refusal := r.Router.Find(e)
 	if leavingSince := r.LeavingSince(); refusal == nil && !leavingSince.IsZero() && e.Arrived.Sub(leavingSince) > shutdownAcceptTime {
-		refusal = dragonflypass.Refuse(dragonflypass.ReasonLeaving, otherVMRetryAfter, "the VM is leaving")
+		refusal = leavingRefusal()
 	}
 	if refusal == nil {
 		refusal = r.Quarantiner.Refuses(fingerprintOf(match, e), e.PromptParts)
@@ -213,6 +218,22 @@
 	return err
 }
 
+// mayStart reports whether the request may be sent to a server. It may not if this VM is shutting down and might end before
+// the request does, unless the caller has received a part of the response. The request may have waited since it arrived: for
+// its body, for a permit, or for a server that then failed.
+func (r *Relayer) mayStart(j *job) bool {
+	leavingSince := r.LeavingSince()
+	if leavingSince.IsZero() || r.ShutdownTime == 0 || j.headWritten {
+		return true
+	}
+	return r.Timer.Now().Sub(leavingSince) <= shutdownAcceptTime || !j.deadline.After(leavingSince.Add(r.ShutdownTime))
+}
+
+// leavingRefusal returns the refusal of a request that has not been sent to a server.
+func leavingRefusal() *dragonflypass.Refusal {
+	return dragonflypass.Refuse(dragonflypass.ReasonLeaving, otherVMRetryAfter, "the VM is leaving")
+}
+
 // awaitLoaded waits for a short time after the start of the process until the route table and the registry have been read:
 // a caller whose request is refused meanwhile may have no retry left when they have been read.
 func (r *Relayer) awaitLoaded(ctx context.Context) {
