Quarantine prompt parts on the path with an OpenAI interface too

The same cause acted in 'serve': its owners report all requests that a crashed server ran, but only by their whole content. The parts of a chat prompt are its messages but the last; a plain prompt has none. Owners report those whose prompts the server had not processed, entry VMs clear the parts of answers that begin.

--- a/adapter/messenger/message.go
+++ b/adapter/messenger/message.go
@@ -84,6 +84,8 @@
 	ID                 string   `cbor:"id,omitempty"`
 	Priority           int      `cbor:"level,omitempty"`
 	MaxEventGap        int64    `cbor:"gap,omitempty"`
+	// Parts is ignored by the versions that do not know it.
+	Parts []string `cbor:"parts,omitempty"`
 }
 
 type permit struct {
@@ -140,6 +142,8 @@
 	Prefilled        bool     `cbor:"prefilled,omitempty"`
 	TimeToFirstToken int64    `cbor:"left,omitempty"`
 	Helpers          []string `cbor:"helpers,omitempty"`
+	// Parts is ignored by the versions that do not know it.
+	Parts []string `cbor:"parts,omitempty"`
 }
 
 type entriesRequest struct {
@@ -216,6 +220,7 @@
 		Deadline: toRemaining(r.Deadline, now), LatestStart: toRemaining(r.LatestStart, now), FirstTokenDeadline: toRemaining(r.FirstTokenDeadline, now),
 		StreamFailures: r.StreamFailures, PinnedServer: string(r.PinnedServer), Group: r.Group,
 		Service: string(r.Service), Zone: string(r.Part.Zone), Index: r.Part.Index, Moved: r.Moved, ID: r.ID, Priority: r.Priority, MaxEventGap: int64(r.MaxEventGap),
+		Parts: toStrings(r.Parts),
 	}
 	for _, server := range r.ExcludedServers {
 		w.ExcludedServers = append(w.ExcludedServers, string(server))
@@ -232,6 +237,7 @@
 		Deadline: fromRemaining(w.Deadline, now), LatestStart: fromRemaining(w.LatestStart, now), FirstTokenDeadline: fromRemaining(w.FirstTokenDeadline, now),
 		StreamFailures: w.StreamFailures, PinnedServer: dragonflypass.ServerID(w.PinnedServer), Group: w.Group,
 		Service: dragonflypass.ServiceID(w.Service), Part: toPart(w.Zone, w.Index), Moved: w.Moved, ID: w.ID, Priority: w.Priority, MaxEventGap: time.Duration(w.MaxEventGap),
+		Parts: fromStrings[dragonflypass.PromptPart](w.Parts),
 	}
 	for _, server := range w.ExcludedServers {
 		r.ExcludedServers = append(r.ExcludedServers, dragonflypass.ServerID(server))
@@ -306,6 +312,7 @@
 		Stream: toStreamID(s.Stream), Server: string(s.Server), Tokens: s.Tokens, Fingerprint: toFingerprint(s.Fingerprint),
 		Rank: uint8(s.Rank), Account: string(s.Account), Deadline: toRemaining(s.Deadline, now),
 		Service: string(s.Service), Zone: string(s.Part.Zone), Index: s.Part.Index, MaxEventGap: int64(s.MaxEventGap), PromptTokens: s.PromptTokens, Prefilled: s.Prefilled, TimeToFirstToken: int64(s.TimeToFirstToken),
+		Parts: toStrings(s.Parts),
 	}
 	for _, server := range s.Helpers {
 		w.Helpers = append(w.Helpers, string(server))
@@ -318,6 +325,7 @@
 		Stream: w.Stream.id(), Server: dragonflypass.ServerID(w.Server), Tokens: w.Tokens, Fingerprint: w.Fingerprint.fingerprint(),
 		Rank: dragonflypass.Rank(w.Rank), Account: dragonflypass.AccountID(w.Account), Deadline: fromRemaining(w.Deadline, now),
 		Service: dragonflypass.ServiceID(w.Service), Part: toPart(w.Zone, w.Index), MaxEventGap: time.Duration(w.MaxEventGap), PromptTokens: w.PromptTokens, Prefilled: w.Prefilled, TimeToFirstToken: time.Duration(w.TimeToFirstToken),
+		Parts: fromStrings[dragonflypass.PromptPart](w.Parts),
 	}
 	for _, server := range w.Helpers {
 		s.Helpers = append(s.Helpers, dragonflypass.ServerID(server))
--- a/adapter/messenger/messenger_test.go
+++ b/adapter/messenger/messenger_test.go
@@ -182,7 +182,7 @@
 		Loads: []dragonflypass.ServerLoad{{Server: "s", Free: 5, Streams: 6, Wait: [dragonflypass.ClassCount]time.Duration{time.Second, 2, 3, time.Hour}, NextMaintenance: time.Unix(99, 0)}},
 		InheritedStreams: []dragonflypass.OpenStream{{
 			Stream: request().Stream, Server: "s", Tokens: 7, Rank: 1, Account: "a", Deadline: time.Now().Add(time.Hour),
-			Service: "models", MaxEventGap: time.Second, PromptTokens: 5, Prefilled: true, Helpers: []dragonflypass.ServerID{"t"},
+			Service: "models", MaxEventGap: time.Second, PromptTokens: 5, Prefilled: true, Helpers: []dragonflypass.ServerID{"t"}, Parts: []dragonflypass.PromptPart{"p"},
 		}},
 		Watermarks: []dragonflypass.Watermark{{
 			Topic: dragonflypass.TopicServers, EndOffset: 12, Loaded: true, Staleness: time.Second, FullSnapshot: true,
--- a/adapter/responder/chat_create.go
+++ b/adapter/responder/chat_create.go
@@ -1,13 +1,19 @@
 package responder
 
 import (
+	"crypto/sha256"
+	"encoding/hex"
 	"encoding/json"
 	"net/http"
+	"slices"
 	"strings"
 
 	"github.com/dragonflypass/dragonflypass"
 )
 
+// partIDBytes is the length in bytes of the hash that identifies a message.
+const partIDBytes = 16
+
 // chatBody is the JSON body of POST /v1/chat/completions.
 type chatBody struct {
 	Model     string        `json:"model"`
@@ -48,6 +54,7 @@
 		return
 	}
 	completion := r.newCompletionRequest(w, account, body.Model, prompt, maxTokens)
+	completion.Parts = body.sharedParts()
 	r.complete(w, request, completion, chatFormat, body.Stream, body.StreamOptions.IncludeUsage)
 }
 
@@ -68,6 +75,19 @@
 	return prompt.String(), nil
 }
 
+// sharedParts identifies the messages by their content, sorted and without duplicates, but for the last one: the others, such as
+// a system prompt or a document, may occur in other conversations.
+func (b *chatBody) sharedParts() []dragonflypass.PromptPart {
+	var parts []dragonflypass.PromptPart
+	for _, message := range b.Messages[:len(b.Messages)-1] {
+		text, _ := message.text()
+		digest := sha256.Sum256([]byte(message.Role + "\x00" + text))
+		parts = append(parts, dragonflypass.PromptPart(hex.EncodeToString(digest[:partIDBytes])))
+	}
+	slices.Sort(parts)
+	return slices.Compact(parts)
+}
+
 // text returns the content of the message, which is either a string or a list of text parts.
 func (m *chatMessage) text() (text string, ok bool) {
 	if m.Role == "" {
--- a/core/composer/composer.go
+++ b/core/composer/composer.go
@@ -197,7 +197,11 @@
 	n.Detector.ConfigOffset = func() dragonflypass.Offset { return n.Configurer.Current().Offset }
 	n.Detector.Loads = n.Scheduler.Loads
 	n.Detector.OpenStreams = n.Dispatcher.OpenStreams
-	n.Detector.Received = n.Scheduler.HandleHeartbeat
+	n.Detector.PartStatuses = n.Quarantiner.PartStatuses
+	n.Detector.Received = func(heartbeat dragonflypass.Heartbeat) {
+		n.Quarantiner.MergeParts(heartbeat.Parts)
+		n.Scheduler.HandleHeartbeat(heartbeat)
+	}
 	n.Detector.Subscribe(n.Assigner.Assign)
 	n.Configurer.Subscribe(func(*dragonflypass.Configuration) { n.Assigner.Assign() })
 }
--- a/core/composer/crash_test.go
+++ b/core/composer/crash_test.go
@@ -135,3 +135,35 @@
 		c.Check(retries <= requests/10+retryBurst, qt.IsTrue, qt.Commentf("%d retries", retries))
 	})
 }
+
+// TestPromptPartCrashesModelServersOneAfterTheOther sends different prompts that have one part in common which crashes every
+// server, among sound ones of the same account that share the other part.
+func TestPromptPartCrashesModelServersOneAfterTheOther(t *testing.T) {
+	withSite(t, 6, 6, func(c *qt.C, s *fake.Site) {
+		stop := make(chan struct{})
+		go restartCrashedServers(s, stop)
+		var wg sync.WaitGroup
+		sound := make([]*fake.Answer, 120)
+		for i := range sound {
+			sound[i] = &fake.Answer{}
+			wg.Go(func() {
+				time.Sleep(time.Duration(i) * 200 * time.Millisecond)
+				s.CompleteInto(s.Context, sound[i], i%6, prompt(fmt.Sprintf("good%d", i), 300), 60, dragonflypass.RankNormal, "shared")
+			})
+		}
+		for i := range 30 {
+			wg.Go(func() {
+				s.CompleteInto(s.Context, &fake.Answer{}, i%6, prompt(fmt.Sprintf("<crash> %d", i), 300), 60, dragonflypass.RankNormal, "cause", "shared")
+			})
+			time.Sleep(700 * time.Millisecond)
+		}
+		wg.Wait()
+		close(stop)
+		// Each crash may take a request along that is sent to a second server before the first crash is known.
+		c.Check(crashCount(s) <= 2*crashLimit, qt.IsTrue, qt.Commentf("%d servers crashed", crashCount(s)))
+		for i, a := range sound {
+			checkCompleteAnswer(c, a, prompt(fmt.Sprintf("good%d", i), 300), 60)
+		}
+		time.Sleep(5 * time.Second)
+	})
+}
--- a/core/dispatcher/acquire.go
+++ b/core/dispatcher/acquire.go
@@ -130,6 +130,7 @@
 		ExpectedTokens:     max(1, r.ExpectedTokens-j.deliveredTokens),
 		TimePerToken:       d.Estimator.TimePerToken(r.Model),
 		Fingerprint:        r.Fingerprint,
+		Parts:              r.Parts,
 		Deadline:           r.Deadline,
 		LatestStart:        d.latestStart(j, current),
 		FirstTokenDeadline: FirstTokenDeadline(r, current.Ranks[r.Rank]),
--- a/core/dispatcher/prepare.go
+++ b/core/dispatcher/prepare.go
@@ -4,7 +4,6 @@
 	"time"
 
 	"github.com/dragonflypass/dragonflypass"
-	"github.com/dragonflypass/dragonflypass/core/quarantiner"
 )
 
 const (
@@ -40,7 +39,9 @@
 	MaxOutputTokens int
 	// BodyHash is the hash of the parts of the request that are the same in each retry.
 	BodyHash dragonflypass.Digest
-	Arrived  time.Time
+	// Parts are the parts of the prompt that other prompts may share, sorted and without duplicates.
+	Parts   []dragonflypass.PromptPart
+	Arrived time.Time
 }
 
 // prepare checks the request against the configuration and the account's limits.
@@ -62,8 +63,8 @@
 	if refusal != nil {
 		return nil, nil, refusal
 	}
-	if d.Quarantiner.Check(request.Fingerprint) == quarantiner.Quarantined {
-		return nil, nil, dragonflypass.Refuse(dragonflypass.ReasonQuarantined, 0, "backend servers crashed while running this request")
+	if refusal := d.Quarantiner.Refuses(request.Fingerprint, request.Parts); refusal != nil {
+		return nil, nil, refusal
 	}
 	j := &job{request: request, account: account, weight: current.Weight(account, request.Arrived)}
 	if refusal := d.applyOwnWindow(j, current); refusal != nil {
@@ -98,6 +99,7 @@
 		OutputTokens:   outputTokens,
 		ExpectedTokens: d.Estimator.OutputTokens(account.ID, model.ID, outputTokens),
 		Fingerprint:    dragonflypass.Fingerprint{Account: account.ID, Model: model.ID, Body: completion.BodyHash},
+		Parts:          completion.Parts,
 		Arrived:        completion.Arrived,
 		Deadline:       completion.Arrived.Add(d.Current().Ranks[rank].Timeout),
 	}, nil
--- a/core/dispatcher/stream.go
+++ b/core/dispatcher/stream.go
@@ -174,6 +174,8 @@
 	attempt    int
 	usage      dragonflypass.TokenUsage
 	endSeen    bool
+	// begun is set once the server has sent a token of its answer.
+	begun bool
 }
 
 // accept handles a frame. It drops repeated frames and those of another stream or attempt; a gap breaks the stream.
@@ -190,6 +192,10 @@
 		r.endSeen = true
 		r.usage = dragonflypass.TokenUsage{PromptTokens: frame.PromptTokens, OutputTokens: frame.Count, Finish: frame.Finish}
 	} else {
+		if !r.begun {
+			r.begun = true
+			r.dispatcher.Quarantiner.RecordBegun(j.request.Model, j.request.Parts)
+		}
 		j.deliveredText.WriteString(frame.Text)
 		j.deliveredTokens += frame.Tokens
 		r.dispatcher.recordFrameTimes(j, frame.Tokens)
@@ -227,7 +233,7 @@
 		cancel: cancel,
 		record: dragonflypass.OpenStream{
 			Stream: permit.Stream, Server: permit.Server, Tokens: promptTokens + outputTokens,
-			Fingerprint: j.request.Fingerprint, Rank: j.request.Rank, Account: j.request.Account, Deadline: j.request.Deadline,
+			Fingerprint: j.request.Fingerprint, Parts: j.request.Parts, Rank: j.request.Rank, Account: j.request.Account, Deadline: j.request.Deadline,
 		},
 	}
 	s.stallDeadline.Store(d.Timer.Now().Add(stallTimeout + prefillStallFactor*seconds(float64(promptTokens)/prefill)).UnixNano())
--- a/core/scheduler/permit.go
+++ b/core/scheduler/permit.go
@@ -58,7 +58,7 @@
 	p := &permit{
 		stream: dragonflypass.OpenStream{
 			Stream: request.Stream, Server: srv.config.ID, Tokens: request.Tokens(),
-			Fingerprint: request.Fingerprint, Rank: request.Rank, Account: request.Account, Deadline: request.Deadline,
+			Fingerprint: request.Fingerprint, Parts: request.Parts, Rank: request.Rank, Account: request.Account, Deadline: request.Deadline,
 		},
 		weight:        request.Weight,
 		group:         request.Group,
--- a/core/scheduler/report.go
+++ b/core/scheduler/report.go
@@ -52,6 +52,7 @@
 			s.addUnconfirmed(srv, stream, lastContact[stream.Stream.VM], now)
 			continue
 		}
+		p.stream.Prefilled = p.stream.Prefilled || stream.Prefilled
 		if stream.Prefilled {
 			srv.finishPrefill(stream.Stream)
 		} else if !p.prefillDue.IsZero() && now.Sub(p.prefillDue) > s.Lag/2+overdueMargin {
@@ -132,6 +133,9 @@
 	for _, p := range s.permits {
 		if p.stream.Server == srv.config.ID && p.stream.Fingerprint != (dragonflypass.Fingerprint{}) {
 			crash.Fingerprints = append(crash.Fingerprints, p.stream.Fingerprint)
+			if !p.stream.Prefilled && !p.unconfirmed {
+				crash.Suspects = append(crash.Suspects, dragonflypass.CrashSuspect{Fingerprint: p.stream.Fingerprint, Parts: p.stream.Parts, SentAt: p.grantedAt})
+			}
 		}
 	}
 	return crash, len(crash.Fingerprints) > 0 && s.Quarantiner.RecordCrash(crash)
--- a/core/scheduler/suspect.go
+++ b/core/scheduler/suspect.go
@@ -11,11 +11,11 @@
 // Copies that entry VMs sent before they received the crash report would otherwise queue here and run at several
 // owners.
 func (s *Scheduler) checkQuarantine(request *dragonflypass.PermitRequest, busyDecisions ...quarantiner.Decision) *dragonflypass.Refusal {
+	if refusal := s.Quarantiner.Refuses(request.Fingerprint, request.Parts); refusal != nil {
+		return refusal
+	}
 	decision := s.Quarantiner.Check(request.Fingerprint)
-	switch {
-	case decision == quarantiner.Quarantined:
-		return dragonflypass.Refuse(dragonflypass.ReasonQuarantined, 0, "backend servers crashed while running this request")
-	case request.StreamFailures == 0 && slices.Contains(busyDecisions, decision):
+	if request.StreamFailures == 0 && slices.Contains(busyDecisions, decision) {
 		return dragonflypass.Refuse(dragonflypass.ReasonBusy, minRetryAfter, "a backend server crashed while running a copy of this request")
 	}
 	return nil
--- a/permit.go
+++ b/permit.go
@@ -23,7 +23,10 @@
 	// TimePerToken is the estimated time per generated token, above the mean of recent requests.
 	TimePerToken time.Duration
 	Fingerprint  Fingerprint
-	Deadline     time.Time
+	// Parts are the parts of the prompt that other prompts may share, sorted; the platform's path leaves them out, because the
+	// VM of the caller checks them.
+	Parts    []PromptPart
+	Deadline time.Time
 	// LatestStart is the time after which the request can no longer finish by its deadline.
 	LatestStart time.Time
 	// FirstTokenDeadline is the time by which the first token is due.
@@ -90,9 +93,11 @@
 	// Tokens is the maximum KV memory that the stream may need, in tokens.
 	Tokens      int
 	Fingerprint Fingerprint
-	Rank        Rank
-	Account     AccountID
-	Deadline    time.Time
+	// Parts are those of the permit request.
+	Parts    []PromptPart
+	Rank     Rank
+	Account  AccountID
+	Deadline time.Time
 	// Service is the service whose servers run the stream, empty if the model selects the servers.
 	Service ServiceID
 	// Part names the shard that granted the permit.
--- a/request.go
+++ b/request.go
@@ -36,7 +36,9 @@
 	// ExpectedTokens is the number of tokens that are likely to be generated.
 	ExpectedTokens int
 	Fingerprint    Fingerprint
-	Arrived        time.Time
+	// Parts are the parts of the prompt that other prompts may share, sorted and without duplicates.
+	Parts   []PromptPart
+	Arrived time.Time
 	// Deadline is the time by which the request finishes or fails.
 	Deadline time.Time
 }
