Clear requests of suspicion when plain services answer them

What callers saw: a lookup that is sent again and again, with the same content, was refused for an hour after three servers had gone down while they ran it, for whatever reason, however many times it had been answered in between.

Only streams reported their success to the quarantine; responses of plain services did not.

Evidence: TestRepeatedLookupIsNotRefusedAfterCrashes, before: 'quarantined' at the third crash. A relay no longer keeps a list of completed requests, which it never read: up to 50,000 entries.

--- a/core/composer/part_test.go
+++ b/core/composer/part_test.go
@@ -155,3 +155,33 @@
 		}
 	})
 }
+
+// TestRepeatedLookupIsNotRefusedAfterCrashes sends the same lookup again and again, while servers that run it go down for other
+// reasons.
+func TestRepeatedLookupIsNotRefusedAfterCrashes(t *testing.T) {
+	withRelaySite(t, 1, 3, 1, func(c *qt.C, s *fake.RelaySite) {
+		lookup := func() *fake.ResponseRecorder {
+			e := fake.NewExchange("lookup", "/read/x", 0)
+			return s.Send(0, e)
+		}
+		for range 5 {
+			answer := make(chan *fake.ResponseRecorder, 1)
+			go func() { answer <- lookup() }()
+			time.Sleep(5 * time.Millisecond)
+			for _, b := range s.PlainServers {
+				if b.Running() == 0 {
+					continue
+				}
+				b.SetFault(fake.BackendDown)
+				time.AfterFunc(serverDowntime, func() {
+					b.Entry.StartedAt++
+					b.SetFault(fake.BackendHealthy)
+					s.Register(b, dragonflypass.ServerReady)
+				})
+			}
+			c.Check((<-answer).Err, qt.IsNil)
+			time.Sleep(2 * serverDowntime)
+		}
+		c.Check(lookup().Err, qt.IsNil)
+	})
+}
--- a/core/composer/relay.go
+++ b/core/composer/relay.go
@@ -138,6 +138,8 @@
 	}
 	n.Quarantiner.Timer, n.Quarantiner.Meter, n.Quarantiner.Logger = ports.Timer, ports.Meter, ports.Logger
 	n.Quarantiner.CrashLimit = crashLimit
+	// Nothing here asks for completed requests.
+	n.Quarantiner.SuccessLimit = 0
 	n.Budgets.Ratio, n.Budgets.Burst = options.RetryRatio, options.RetryBurst
 	n.Budgets.VMs = func() int { return n.Detector.FleetSize() }
 	n.composeMembers()
--- a/core/quarantiner/quarantiner.go
+++ b/core/quarantiner/quarantiner.go
@@ -19,8 +19,8 @@
 	crashBroadcastTime = time.Second
 	// successRetention is how long a request counts as harmless after it completed.
 	successRetention = 10 * time.Minute
-	// successLimit is the largest number of completed requests that are kept.
-	successLimit = 50_000
+	// defaultSuccessLimit is the largest number of completed requests that are kept.
+	defaultSuccessLimit = 50_000
 	// maxCrashSuspects is the largest number of suspects that are counted for one crash.
 	maxCrashSuspects = 64
 	// maxSuspects is the largest number of suspected and quarantined requests that are kept, and maxCrashes that of crashes.
@@ -52,6 +52,8 @@
 	Logger dragonflypass.Logger
 	// CrashLimit is the number of crashes at which a request is quarantined, by default 2.
 	CrashLimit int
+	// SuccessLimit is the largest number of completed requests that are kept for RecentlySucceeded, by default 50,000.
+	SuccessLimit int
 
 	mutex     locker.Mutex
 	suspects  map[dragonflypass.Fingerprint]*suspect
@@ -82,12 +84,12 @@
 // New returns a quarantiner with empty tables.
 func New() *Quarantiner {
 	return &Quarantiner{
-		CrashLimit: defaultCrashLimit,
-		mutex:      locker.Mutex{Order: locker.Suspects},
-		suspects:   make(map[dragonflypass.Fingerprint]*suspect),
-		crashes:    make(map[crashKey]*crashRecord),
-		successes:  make(map[dragonflypass.Fingerprint]time.Time),
-		parts:      newPartTable(),
+		CrashLimit: defaultCrashLimit, SuccessLimit: defaultSuccessLimit,
+		mutex:     locker.Mutex{Order: locker.Suspects},
+		suspects:  make(map[dragonflypass.Fingerprint]*suspect),
+		crashes:   make(map[crashKey]*crashRecord),
+		successes: make(map[dragonflypass.Fingerprint]time.Time),
+		parts:     newPartTable(),
 	}
 }
 
@@ -259,7 +261,7 @@
 	now := q.Timer.Now()
 	q.mutex.Lock()
 	defer q.mutex.Unlock()
-	if len(q.successes) < successLimit {
+	if len(q.successes) < q.SuccessLimit {
 		q.successes[fingerprint] = now
 	}
 	if s, ok := q.suspects[fingerprint]; ok && s.crashes < q.CrashLimit {
--- a/core/relayer/buffered.go
+++ b/core/relayer/buffered.go
@@ -105,6 +105,7 @@
 	case err == nil && resp.head.Status >= serverErrorStatus:
 		outcome = assessor.Failed
 	case err == nil:
+		r.Quarantiner.RecordSuccess(j.fingerprint())
 	case errors.Is(err, dragonflypass.ErrUnavailable):
 		outcome = assessor.Inconclusive
 		if ctx.Err() == nil {
