List suspected prompt parts in the state dump

Operators see why requests are refused as quarantined: the part, the parts that a prompt must have besides, the accounts, the crashes and the end.

--- a/adapter/administrator/state.go
+++ b/adapter/administrator/state.go
@@ -22,13 +22,14 @@
 	Busy        int `json:"busy"`
 	OpenStreams int `json:"open"`
 	// BufferedBytes is the memory used by request bodies.
-	BufferedBytes  int64     `json:"buffered"`
-	QueuedRequests int       `json:"waiting"`
-	Members        []Member  `json:"members"`
-	Servers        []Server  `json:"servers"`
-	Permits        []Permit  `json:"permits"`
-	Claims         []Claim   `json:"claims"`
-	Suspects       []Suspect `json:"suspects"`
+	BufferedBytes  int64         `json:"buffered"`
+	QueuedRequests int           `json:"waiting"`
+	Members        []Member      `json:"members"`
+	Servers        []Server      `json:"servers"`
+	Permits        []Permit      `json:"permits"`
+	Claims         []Claim       `json:"claims"`
+	Suspects       []Suspect     `json:"suspects"`
+	Parts          []SuspectPart `json:"parts"`
 }
 
 // Member is the JSON form of another entry VM.
@@ -77,6 +78,18 @@
 	Until   time.Time `json:"until"`
 }
 
+// SuspectPart is a prompt part that may crash servers. Only prompts with all Required parts are refused and, if there is one
+// account, only its own.
+type SuspectPart struct {
+	Model    string   `json:"model"`
+	Part     string   `json:"part"`
+	Required []string `json:"required"`
+	Accounts []string `json:"accounts"`
+	Crashes  int      `json:"crashes"`
+	// Until is the end of the quarantine, zero if there was none.
+	Until time.Time `json:"until"`
+}
+
 // State returns a dump of the state of the process.
 func (a *Administrator) State() State {
 	core := a.Core
@@ -85,7 +98,7 @@
 		At: core.Ports.Timer.Now(), Leaving: core.Detector.Leaving(), Ready: core.Ready(),
 		ConfigOffset: uint64(core.Configurer.Current().Offset),
 		Busy:         core.Drainer.Busy(), OpenStreams: core.Dispatcher.OpenCount(), BufferedBytes: core.Admitter.Buffered(),
-		Members: members(core.Detector.Others()), Claims: a.claims(), Suspects: suspects(core.Quarantiner.Suspects()),
+		Members: members(core.Detector.Others()), Claims: a.claims(), Suspects: suspects(core.Quarantiner.Suspects()), Parts: suspectParts(core.Quarantiner.SuspectParts()),
 	}
 	owned := core.Scheduler.State()
 	state.QueuedRequests, state.Servers, state.Permits = owned.QueuedRequests, servers(owned.Servers), permits(owned.Permits)
@@ -136,3 +149,18 @@
 	}
 	return result
 }
+
+func suspectParts(list []quarantiner.SuspectPart) []SuspectPart {
+	result := make([]SuspectPart, 0, len(list))
+	for _, part := range list {
+		state := SuspectPart{Model: string(part.Model), Part: string(part.Part), Crashes: part.Crashes, Until: part.Until}
+		for _, required := range part.Required {
+			state.Required = append(state.Required, string(required))
+		}
+		for _, account := range part.Accounts {
+			state.Accounts = append(state.Accounts, string(account))
+		}
+		result = append(result, state)
+	}
+	return result
+}
--- a/adapter/exposer/dump.go
+++ b/adapter/exposer/dump.go
@@ -33,6 +33,7 @@
 	Streams         []Stream         `json:"streams"`
 	Budgets         []Budget         `json:"budgets"`
 	Suspects        []Suspect        `json:"suspects"`
+	Parts           []SuspectPart    `json:"parts"`
 }
 
 // Topic describes the local copy of a topic of the store: the offset up to which it was read
@@ -128,6 +129,18 @@
 	Balance float64                 `json:"saved"`
 }
 
+// SuspectPart is a prompt part that may crash servers. Only prompts with all Required parts are refused and, if there is one
+// account, only its own.
+type SuspectPart struct {
+	Model    dragonflypass.ModelID      `json:"model"`
+	Part     dragonflypass.PromptPart   `json:"part"`
+	Required []dragonflypass.PromptPart `json:"required"`
+	Accounts []dragonflypass.AccountID  `json:"accounts"`
+	Crashes  int                        `json:"crashes"`
+	// Until is the end of the quarantine, zero if there was none.
+	Until time.Time `json:"until"`
+}
+
 // Suspect is a request that may have crashed backend servers.
 type Suspect struct {
 	Account dragonflypass.AccountID `json:"account"`
@@ -179,5 +192,8 @@
 	for _, suspect := range s.Suspects {
 		d.Suspects = append(d.Suspects, Suspect(suspect))
 	}
+	for _, part := range s.SuspectParts {
+		d.Parts = append(d.Parts, SuspectPart(part))
+	}
 	return d
 }
--- a/core/composer/part_test.go
+++ b/core/composer/part_test.go
@@ -10,6 +10,7 @@
 	qt "github.com/frankban/quicktest"
 
 	"github.com/dragonflypass/dragonflypass"
+	"github.com/dragonflypass/dragonflypass/core/quarantiner"
 	"github.com/dragonflypass/dragonflypass/internal/fake"
 )
 
@@ -140,6 +141,12 @@
 		recorder := watch(s)
 		results := sendMixedTraffic(s, 12*time.Second)
 		checkContained(c, s, recorder.crashTimes(), results)
+		for i, n := range s.Nodes {
+			isListed := slices.ContainsFunc(n.State().SuspectParts, func(p quarantiner.SuspectPart) bool {
+				return p.Part == fake.CrashPart && p.Until.After(time.Now())
+			})
+			c.Check(isListed, qt.IsTrue, qt.Commentf("VM %d", i))
+		}
 	})
 }
 
--- a/core/composer/state.go
+++ b/core/composer/state.go
@@ -40,6 +40,7 @@
 	Streams        []relayer.StreamState
 	Budgets        []retrier.BudgetState
 	Suspects       []quarantiner.Suspect
+	SuspectParts   []quarantiner.SuspectPart
 }
 
 // TopicState describes how far the node has read a topic of the store.
@@ -68,7 +69,7 @@
 	s := RelayState{
 		Self: n.Options.Self, Incarnation: n.Options.Incarnation, At: n.Ports.Timer.Now(), Ready: n.Ready(), Leaving: n.Detector.Leaving(),
 		Members: n.Detector.Others(), ZoneSizes: n.Detector.ZoneSizes(), Hubs: n.Detector.Hubs(), Registry: n.Registrar.All(), FailingServers: n.Assessor.FailingServers(), ExcludedServers: n.Excluder.State(), Streams: n.Relayer.State(),
-		Budgets: n.Budgets.State(), Suspects: n.Quarantiner.Suspects(),
+		Budgets: n.Budgets.State(), Suspects: n.Quarantiner.Suspects(), SuspectParts: n.Quarantiner.SuspectParts(),
 	}
 	slices.SortFunc(s.Registry, func(x, y dragonflypass.ServerEntry) int { return cmp.Compare(x.ID, y.ID) })
 	s.Servers, s.QueuedRequests = n.Allocator.State()
--- a/core/quarantiner/parts.go
+++ b/core/quarantiner/parts.go
@@ -418,3 +418,31 @@
 		clear(t.previousBegun)
 	}
 }
+
+// SuspectPart describes a suspected or quarantined prompt part in a state dump.
+type SuspectPart struct {
+	Model dragonflypass.ModelID
+	Part  dragonflypass.PromptPart
+	// Required are the parts that a prompt must have to be refused.
+	Required []dragonflypass.PromptPart
+	// Accounts are client accounts whose requests crashed servers. If there is one, only its requests are refused.
+	Accounts []dragonflypass.AccountID
+	Crashes  int
+	// Until is the end of the quarantine, zero if there was none.
+	Until time.Time
+}
+
+// SuspectParts returns the suspected parts for a state dump, sorted by part.
+func (q *Quarantiner) SuspectParts() []SuspectPart {
+	q.mutex.Lock()
+	defer q.mutex.Unlock()
+	list := make([]SuspectPart, 0, len(q.parts.records))
+	for id, record := range q.parts.records {
+		q.parts.prune(id, record)
+		list = append(list, SuspectPart{
+			Model: id.model, Part: id.part, Required: record.required, Accounts: slices.Clone(record.accounts), Crashes: record.count, Until: record.quarantinedUntil,
+		})
+	}
+	slices.SortFunc(list, func(a, b SuspectPart) int { return cmp.Or(cmp.Compare(a.Part, b.Part), cmp.Compare(a.Model, b.Model)) })
+	return list
+}
