Pass removals on from VMs that have just started

Cause: a server was removed from the registry at 19.06 s, and a VM started at 19.10 s. It read the topic as a whole, without that server, and told other VMs all changes that it knew since their offset. A removal before its start was not among them, so two VMs kept the server, passed it on to VMs that started later, and one of those became its owner. The server's address belonged to another service by then: each request was answered 421 and, with the retry budget spent, refused.

--- a/core/follower/follower.go
+++ b/core/follower/follower.go
@@ -308,6 +308,8 @@
 				changed = append(changed, dragonflypass.Update{Key: key, Offset: page.EndOffset})
 			}
 		}
+		// Records that were removed before are not in a snapshot.
+		f.tombstonesFrom = page.EndOffset
 	}
 	f.endOffset, f.loaded = page.EndOffset, true
 	return changed
--- a/core/follower/follower_test.go
+++ b/core/follower/follower_test.go
@@ -175,6 +175,23 @@
 	})
 }
 
+// TestRemovalReachesVMsThroughNewOne removes a record while one VM starts, whose snapshot does not contain the record any more.
+// A VM that follows this one must not keep the record.
+func TestRemovalReachesVMsThroughNewOne(t *testing.T) {
+	c := qt.New(t)
+	behind, started := newFollower(), newFollower()
+	behind.HandleWatermark(behind.Timer.Uptime(), page(1), "vm-1")
+	removed := false
+	behind.Subscribe(func(updates []dragonflypass.Update) {
+		removed = removed || updates[0].Key == "routing" && len(updates[0].Raw) == 0
+	})
+	snapshot := dragonflypass.Watermark{Topic: dragonflypass.TopicRouting, EndOffset: 3, Loaded: true, FullSnapshot: true}
+	started.HandleWatermark(started.Timer.Uptime(), snapshot, "store")
+	behind.HandleWatermark(behind.Timer.Uptime(), started.MissingUpdates(behind.Watermark(), false), "vm-2")
+	c.Check(behind.Watermark().EndOffset, qt.Equals, dragonflypass.Offset(3))
+	c.Check(removed, qt.IsTrue)
+}
+
 // TestEmptyTopicIsLoaded reads a topic without records, about which no listener hears.
 func TestEmptyTopicIsLoaded(t *testing.T) {
 	c := qt.New(t)
--- a/core/relayer/buffered.go
+++ b/core/relayer/buffered.go
@@ -106,6 +106,7 @@
 		outcome = assessor.Failed
 	case err == nil:
 		r.Quarantiner.RecordSuccess(j.fingerprint())
+		r.Quarantiner.RecordBegun(j.fingerprint().Model, j.exchange.PromptParts)
 	case errors.Is(err, dragonflypass.ErrUnavailable):
 		outcome = assessor.Inconclusive
 		if ctx.Err() == nil {
