--- a/adapter/administrator/state.go
+++ b/adapter/administrator/state.go
@@ -78,7 +78,7 @@
 	Until   time.Time `json:"until"`
 }
 
-// SuspectPart is a prompt part that may crash servers. Only prompts with all Required parts are refused and, if there is one
+// SuspectPart is a shared part of prompts that may crash servers. Only prompts with all Required parts are refused and, if there is one
 // account, only its own.
 type SuspectPart struct {
 	Model    string   `json:"model"`
--- a/adapter/exposer/dump.go
+++ b/adapter/exposer/dump.go
@@ -129,12 +129,12 @@
 	Balance float64                 `json:"saved"`
 }
 
-// SuspectPart is a prompt part that may crash servers. Only prompts with all Required parts are refused and, if there is one
+// SuspectPart is a shared part of prompts that may crash servers. Only prompts with all Required parts are refused and, if there is one
 // account, only its own.
 type SuspectPart struct {
 	Model    dragonflypass.ModelID      `json:"model"`
-	Part     dragonflypass.PromptPart   `json:"part"`
-	Required []dragonflypass.PromptPart `json:"required"`
+	Part     dragonflypass.SharedPart   `json:"part"`
+	Required []dragonflypass.SharedPart `json:"required"`
 	Accounts []dragonflypass.AccountID  `json:"accounts"`
 	Crashes  int                        `json:"crashes"`
 	// Until is the end of the quarantine, zero if there was none.
--- a/adapter/messenger/crash.go
+++ b/adapter/messenger/crash.go
@@ -72,7 +72,7 @@
 	}
 	for _, s := range w.Suspects {
 		c.Suspects = append(c.Suspects, dragonflypass.CrashSuspect{
-			Fingerprint: s.Fingerprint.fingerprint(), Parts: fromStrings[dragonflypass.PromptPart](s.Parts), SentAt: fromAge(s.SinceSent, now),
+			Fingerprint: s.Fingerprint.fingerprint(), Parts: fromStrings[dragonflypass.SharedPart](s.Parts), SentAt: fromAge(s.SinceSent, now),
 		})
 	}
 	return c
@@ -91,8 +91,8 @@
 
 func (w partStatus) status(now time.Time) dragonflypass.PartStatus {
 	s := dragonflypass.PartStatus{
-		Model: dragonflypass.ModelID(w.Model), Part: dragonflypass.PromptPart(w.Part), BegunAt: fromAge(w.SinceBegun, now),
-		Required: fromStrings[dragonflypass.PromptPart](w.Required), Accounts: fromStrings[dragonflypass.AccountID](w.Accounts),
+		Model: dragonflypass.ModelID(w.Model), Part: dragonflypass.SharedPart(w.Part), BegunAt: fromAge(w.SinceBegun, now),
+		Required: fromStrings[dragonflypass.SharedPart](w.Required), Accounts: fromStrings[dragonflypass.AccountID](w.Accounts),
 		Quarantines: w.Quarantines, LastCrash: fromAge(w.SinceCrash, now),
 	}
 	if w.Remaining != 0 {
--- a/adapter/messenger/message.go
+++ b/adapter/messenger/message.go
@@ -237,7 +237,7 @@
 		Deadline: fromRemaining(w.Deadline, now), LatestStart: fromRemaining(w.LatestStart, now), FirstTokenDeadline: fromRemaining(w.FirstTokenDeadline, now),
 		StreamFailures: w.StreamFailures, PinnedServer: dragonflypass.ServerID(w.PinnedServer), Group: w.Group,
 		Service: dragonflypass.ServiceID(w.Service), Part: toPart(w.Zone, w.Index), Moved: w.Moved, ID: w.ID, Priority: w.Priority, MaxEventGap: time.Duration(w.MaxEventGap),
-		Parts: fromStrings[dragonflypass.PromptPart](w.Parts),
+		Parts: fromStrings[dragonflypass.SharedPart](w.Parts),
 	}
 	for _, server := range w.ExcludedServers {
 		r.ExcludedServers = append(r.ExcludedServers, dragonflypass.ServerID(server))
@@ -325,7 +325,7 @@
 		Stream: w.Stream.id(), Server: dragonflypass.ServerID(w.Server), Tokens: w.Tokens, Fingerprint: w.Fingerprint.fingerprint(),
 		Rank: dragonflypass.Rank(w.Rank), Account: dragonflypass.AccountID(w.Account), Deadline: fromRemaining(w.Deadline, now),
 		Service: dragonflypass.ServiceID(w.Service), Part: toPart(w.Zone, w.Index), MaxEventGap: time.Duration(w.MaxEventGap), PromptTokens: w.PromptTokens, Prefilled: w.Prefilled, TimeToFirstToken: time.Duration(w.TimeToFirstToken),
-		Parts: fromStrings[dragonflypass.PromptPart](w.Parts),
+		Parts: fromStrings[dragonflypass.SharedPart](w.Parts),
 	}
 	for _, server := range w.Helpers {
 		s.Helpers = append(s.Helpers, dragonflypass.ServerID(server))
--- a/adapter/messenger/messenger_test.go
+++ b/adapter/messenger/messenger_test.go
@@ -182,14 +182,14 @@
 		Loads: []dragonflypass.ServerLoad{{Server: "s", Free: 5, Streams: 6, Wait: [dragonflypass.ClassCount]time.Duration{time.Second, 2, 3, time.Hour}, NextMaintenance: time.Unix(99, 0)}},
 		InheritedStreams: []dragonflypass.OpenStream{{
 			Stream: request().Stream, Server: "s", Tokens: 7, Rank: 1, Account: "a", Deadline: time.Now().Add(time.Hour),
-			Service: "models", MaxEventGap: time.Second, PromptTokens: 5, Prefilled: true, Helpers: []dragonflypass.ServerID{"t"}, Parts: []dragonflypass.PromptPart{"p"},
+			Service: "models", MaxEventGap: time.Second, PromptTokens: 5, Prefilled: true, Helpers: []dragonflypass.ServerID{"t"}, Parts: []dragonflypass.SharedPart{"p"},
 		}},
 		Watermarks: []dragonflypass.Watermark{{
 			Topic: dragonflypass.TopicServers, EndOffset: 12, Loaded: true, Staleness: time.Second, FullSnapshot: true,
 			Updates: []dragonflypass.Update{{Key: "s", Offset: 11, Raw: []byte("{}")}},
 		}},
 		Parts: []dragonflypass.PartStatus{
-			{Model: "m", Part: "p", Required: []dragonflypass.PromptPart{"o", "p"}, Accounts: []dragonflypass.AccountID{"a"}, Quarantines: 2, LastCrash: time.Now().Add(-time.Hour), QuarantinedUntil: time.Now().Add(time.Hour)},
+			{Model: "m", Part: "p", Required: []dragonflypass.SharedPart{"o", "p"}, Accounts: []dragonflypass.AccountID{"a"}, Quarantines: 2, LastCrash: time.Now().Add(-time.Hour), QuarantinedUntil: time.Now().Add(time.Hour)},
 			{Model: "m", Part: "q", BegunAt: time.Now().Add(-time.Hour)},
 		},
 	}
@@ -210,7 +210,7 @@
 	print := dragonflypass.Fingerprint{Account: "a", Model: "m", Body: dragonflypass.Digest{1}}
 	crash := dragonflypass.ServerCrash{
 		Server: "s", Epoch: 4, Fingerprints: []dragonflypass.Fingerprint{print}, At: time.Now().Add(-time.Hour),
-		Suspects: []dragonflypass.CrashSuspect{{Fingerprint: print, Parts: []dragonflypass.PromptPart{"p", "q"}, SentAt: time.Now().Add(-2 * time.Hour)}},
+		Suspects: []dragonflypass.CrashSuspect{{Fingerprint: print, Parts: []dragonflypass.SharedPart{"p", "q"}, SentAt: time.Now().Add(-2 * time.Hour)}},
 	}
 	c.Assert(client.ReportCrash(t.Context(), vm, crash), qt.IsNil)
 	// Times are sent as ages, because the clocks of two VMs differ.
--- a/adapter/responder/chat_create.go
+++ b/adapter/responder/chat_create.go
@@ -77,12 +77,12 @@
 
 // sharedParts identifies the messages by their content, sorted and without duplicates, but for the last one: the others, such as
 // a system prompt or a document, may occur in other conversations.
-func (b *chatBody) sharedParts() []dragonflypass.PromptPart {
-	var parts []dragonflypass.PromptPart
+func (b *chatBody) sharedParts() []dragonflypass.SharedPart {
+	var parts []dragonflypass.SharedPart
 	for _, message := range b.Messages[:len(b.Messages)-1] {
 		text, _ := message.text()
 		digest := sha256.Sum256([]byte(message.Role + "\x00" + text))
-		parts = append(parts, dragonflypass.PromptPart(hex.EncodeToString(digest[:partIDBytes])))
+		parts = append(parts, dragonflypass.SharedPart(hex.EncodeToString(digest[:partIDBytes])))
 	}
 	slices.Sort(parts)
 	return slices.Compact(parts)
--- a/core/composer/crash_test.go
+++ b/core/composer/crash_test.go
@@ -136,9 +136,9 @@
 	})
 }
 
-// TestPromptPartCrashesModelServersOneAfterTheOther sends different prompts that have one part in common which crashes every
+// TestSharedPartCrashesModelServersOneAfterTheOther sends different prompts that have one part in common which crashes every
 // server, among sound ones of the same account that share the other part.
-func TestPromptPartCrashesModelServersOneAfterTheOther(t *testing.T) {
+func TestSharedPartCrashesModelServersOneAfterTheOther(t *testing.T) {
 	withSite(t, 6, 6, func(c *qt.C, s *fake.Site) {
 		stop := make(chan struct{})
 		go restartCrashedServers(s, stop)
--- a/core/composer/part_test.go
+++ b/core/composer/part_test.go
@@ -58,10 +58,10 @@
 }
 
 // newPartExchange returns a request with a short prompt that shares the parts with others.
-func newPartExchange(id string, parts ...dragonflypass.PromptPart) *dragonflypass.Exchange {
+func newPartExchange(id string, parts ...dragonflypass.SharedPart) *dragonflypass.Exchange {
 	e := fake.NewExchange(id, "/stream/x", 500)
 	slices.Sort(parts)
-	e.PromptParts = parts
+	e.SharedParts = parts
 	return e
 }
 
@@ -93,7 +93,7 @@
 		node := i % len(s.Nodes)
 		wg.Go(func() {
 			if i%crashInterval != 0 {
-				shared := dragonflypass.PromptPart(fmt.Sprintf("shared-%d", i%sharedParts/2))
+				shared := dragonflypass.SharedPart(fmt.Sprintf("shared-%d", i%sharedParts/2))
 				send(node, false, newPartExchange(fmt.Sprintf("sound-%d", i), shared))
 				return
 			}
@@ -134,9 +134,9 @@
 	c.Check(served, qt.Equals, sound, qt.Commentf("%d servers crashed in all", len(crashes)))
 }
 
-// TestPromptPartCrashesServersOneAfterTheOther sends, among sound requests, different ones that have one part in common which
+// TestSharedPartCrashesServersOneAfterTheOther sends, among sound requests, different ones that have one part in common which
 // crashes every server.
-func TestPromptPartCrashesServersOneAfterTheOther(t *testing.T) {
+func TestSharedPartCrashesServersOneAfterTheOther(t *testing.T) {
 	withRelaySite(t, 9, 1, 18, func(c *qt.C, s *fake.RelaySite) {
 		recorder := watch(s)
 		results := sendMixedTraffic(s, 12*time.Second)
--- a/core/detector/detector.go
+++ b/core/detector/detector.go
@@ -72,7 +72,7 @@
 	OpenStreams func(owner dragonflypass.VMID) (granted []uint64, inherited []dragonflypass.OpenStream)
 	// ShardLoads returns the load summaries of the shards that this VM owns.
 	ShardLoads func() []dragonflypass.ShardLoad
-	// PartStatuses returns what other VMs should know of prompt parts that crash servers.
+	// PartStatuses returns what other VMs should know of shared parts of prompts that crash servers.
 	PartStatuses func() []dragonflypass.PartStatus
 	// Received is called with each heartbeat from another VM, with no lock held.
 	Received func(dragonflypass.Heartbeat)
--- a/core/dispatcher/prepare.go
+++ b/core/dispatcher/prepare.go
@@ -40,7 +40,7 @@
 	// BodyHash is the hash of the parts of the request that are the same in each retry.
 	BodyHash dragonflypass.Digest
 	// Parts are the parts of the prompt that other prompts may share, sorted and without duplicates.
-	Parts   []dragonflypass.PromptPart
+	Parts   []dragonflypass.SharedPart
 	Arrived time.Time
 }
 
--- a/core/quarantiner/export_test.go
+++ b/core/quarantiner/export_test.go
@@ -1,6 +1,6 @@
 package quarantiner
 
-// PartCounts returns the number of records of prompt parts, and the number of parts whose begun answers are known.
+// PartCounts returns the number of records of shared parts, and the number of parts whose begun answers are known.
 func (q *Quarantiner) PartCounts() (records, begun int) {
 	return len(q.parts.records), len(q.parts.begun) + len(q.parts.previousBegun)
 }
--- a/core/quarantiner/parts.go
+++ b/core/quarantiner/parts.go
@@ -9,7 +9,7 @@
 )
 
 const (
-	// partCrashLimit is the number of crashes, one after the other, at which a prompt part is quarantined. partRequestLimit is
+	// partCrashLimit is the number of crashes, one after the other, at which a shared part is quarantined. partRequestLimit is
 	// the number of different requests that must have caused them: a request that is sent again shows nothing about its parts.
 	partCrashLimit   = 3
 	partRequestLimit = 2
@@ -37,10 +37,10 @@
 	maxStatuses     = 64
 )
 
-// partKey identifies a prompt part; a part may crash the servers of one model only.
+// partKey identifies a shared part; a part may crash the servers of one model only.
 type partKey struct {
 	model dragonflypass.ModelID
-	part  dragonflypass.PromptPart
+	part  dragonflypass.SharedPart
 }
 
 // partRecord holds the crashes of servers that had not begun to answer a prompt with the part, since the last time that a
@@ -48,8 +48,8 @@
 type partRecord struct {
 	// common are the parts that the prompts of all counted crashes share, including this part. Any of them may be the cause but
 	// for those that servers have begun since, so only prompts with all of the others, which are required, are refused.
-	common   []dragonflypass.PromptPart
-	required []dragonflypass.PromptPart
+	common   []dragonflypass.SharedPart
+	required []dragonflypass.SharedPart
 	// crashes are the latest crashes, and count is the number of those that were counted.
 	crashes []crashKey
 	count   int
@@ -63,7 +63,7 @@
 
 // add adds a crash, unless it is known. Servers that went down together, as when a zone fails, are counted as one: only a
 // request that was sent after the last crash is further evidence.
-func (r *partRecord) add(key crashKey, suspect dragonflypass.CrashSuspect, suspected []dragonflypass.PromptPart, at time.Time) {
+func (r *partRecord) add(key crashKey, suspect dragonflypass.CrashSuspect, suspected []dragonflypass.SharedPart, at time.Time) {
 	if slices.Contains(r.crashes, key) {
 		return
 	}
@@ -93,7 +93,7 @@
 
 // restrictTo removes the parts that a further prompt does not have from common, and those that are not suspected in it from
 // required.
-func (r *partRecord) restrictTo(parts, suspected []dragonflypass.PromptPart) {
+func (r *partRecord) restrictTo(parts, suspected []dragonflypass.SharedPart) {
 	if r.common == nil {
 		r.common, r.required = parts, suspected
 		return
@@ -102,8 +102,8 @@
 }
 
 // intersection returns the parts that both sorted lists have in common. It does not change the lists, which records share.
-func intersection(a, b []dragonflypass.PromptPart) []dragonflypass.PromptPart {
-	return slices.DeleteFunc(slices.Clone(a), func(part dragonflypass.PromptPart) bool {
+func intersection(a, b []dragonflypass.SharedPart) []dragonflypass.SharedPart {
+	return slices.DeleteFunc(slices.Clone(a), func(part dragonflypass.SharedPart) bool {
 		_, found := slices.BinarySearch(b, part)
 		return !found
 	})
@@ -127,7 +127,7 @@
 
 // explainedBy reports whether another part, whose record is cause, was there at all crashes of this one. Parts that always
 // occurred in the same prompts do not explain each other.
-func (r *partRecord) explainedBy(part dragonflypass.PromptPart, cause *partRecord) bool {
+func (r *partRecord) explainedBy(part dragonflypass.SharedPart, cause *partRecord) bool {
 	if len(r.crashes) == 0 || slices.Contains(r.common, part) {
 		return false
 	}
@@ -141,7 +141,7 @@
 }
 
 // refuses reports whether a request of the account with the parts, which are sorted, must not run during the quarantine.
-func (r *partRecord) refuses(account dragonflypass.AccountID, parts []dragonflypass.PromptPart) bool {
+func (r *partRecord) refuses(account dragonflypass.AccountID, parts []dragonflypass.SharedPart) bool {
 	if len(r.accounts) < partAccountLimit && !slices.Contains(r.accounts, account) {
 		return false
 	}
@@ -162,7 +162,7 @@
 	return now.Sub(r.lastCrash) > suspectDuration
 }
 
-// partTable holds the records of prompt parts. It is protected by the mutex of the quarantiner.
+// partTable holds the records of shared parts. It is protected by the mutex of the quarantiner.
 type partTable struct {
 	records map[partKey]*partRecord
 	// begun holds the times of recent first events of answers to prompts with the part, and previousBegun the older ones.
@@ -193,7 +193,7 @@
 
 // recordSuspect adds a crash for the parts of a suspect. It returns the parts whose quarantine has started, and those whose
 // quarantine has ended because another part explains their crashes.
-func (t *partTable) recordSuspect(key crashKey, suspect dragonflypass.CrashSuspect, at, now time.Time) (started, ended []dragonflypass.PromptPart) {
+func (t *partTable) recordSuspect(key crashKey, suspect dragonflypass.CrashSuspect, at, now time.Time) (started, ended []dragonflypass.SharedPart) {
 	model := suspect.Fingerprint.Model
 	parts := t.suspectParts(model, suspect.Parts, at)
 	for _, part := range parts {
@@ -225,7 +225,7 @@
 }
 
 // releaseExplained ends the quarantines that were due to reports which arrived before those of the cause.
-func (t *partTable) releaseExplained(id partKey, cause *partRecord, now time.Time) (ended []dragonflypass.PromptPart) {
+func (t *partTable) releaseExplained(id partKey, cause *partRecord, now time.Time) (ended []dragonflypass.SharedPart) {
 	for other, record := range t.records {
 		if other.model == id.model && other.part != id.part && record.quarantined(now) && record.explainedBy(id.part, cause) {
 			record.quarantines--
@@ -238,8 +238,8 @@
 
 // suspectParts returns the parts that may have caused a crash: those with which no server has begun an answer since. Of more
 // than maxSuspectParts, those that have been suspected before come first.
-func (t *partTable) suspectParts(model dragonflypass.ModelID, parts []dragonflypass.PromptPart, at time.Time) []dragonflypass.PromptPart {
-	suspected := make([]dragonflypass.PromptPart, 0, len(parts))
+func (t *partTable) suspectParts(model dragonflypass.ModelID, parts []dragonflypass.SharedPart, at time.Time) []dragonflypass.SharedPart {
+	suspected := make([]dragonflypass.SharedPart, 0, len(parts))
 	for _, part := range parts {
 		key := partKey{model: model, part: part}
 		if begunAt := t.lastBegun(key); begunAt.After(at) {
@@ -250,7 +250,7 @@
 		suspected = append(suspected, part)
 	}
 	if len(suspected) > maxSuspectParts {
-		slices.SortStableFunc(suspected, func(a, b dragonflypass.PromptPart) int {
+		slices.SortStableFunc(suspected, func(a, b dragonflypass.SharedPart) int {
 			return cmp.Compare(t.crashCount(model, b), t.crashCount(model, a))
 		})
 		suspected = suspected[:maxSuspectParts]
@@ -260,7 +260,7 @@
 }
 
 // crashCount returns the number of crashes that have been counted for the part.
-func (t *partTable) crashCount(model dragonflypass.ModelID, part dragonflypass.PromptPart) int {
+func (t *partTable) crashCount(model dragonflypass.ModelID, part dragonflypass.SharedPart) int {
 	record, ok := t.records[partKey{model: model, part: part}]
 	if !ok {
 		return 0
@@ -297,7 +297,7 @@
 
 // prune removes the parts from required with which a server has begun an answer since the last crash.
 func (t *partTable) prune(id partKey, record *partRecord) {
-	isCleared := func(part dragonflypass.PromptPart) bool {
+	isCleared := func(part dragonflypass.SharedPart) bool {
 		begunAt := t.lastBegun(partKey{model: id.model, part: part})
 		return part != id.part && !begunAt.IsZero() && !begunAt.Before(record.lastCrash)
 	}
@@ -325,7 +325,7 @@
 
 // refusing returns the part because of which a request must not run, and the end of its quarantine. The part is empty if the
 // request may run.
-func (t *partTable) refusing(fingerprint dragonflypass.Fingerprint, parts []dragonflypass.PromptPart, now time.Time) (dragonflypass.PromptPart, time.Time) {
+func (t *partTable) refusing(fingerprint dragonflypass.Fingerprint, parts []dragonflypass.SharedPart, now time.Time) (dragonflypass.SharedPart, time.Time) {
 	if len(t.records) == 0 {
 		return "", time.Time{}
 	}
@@ -419,12 +419,12 @@
 	}
 }
 
-// SuspectPart describes a suspected or quarantined prompt part in a state dump.
+// SuspectPart describes a suspected or quarantined shared part in a state dump.
 type SuspectPart struct {
 	Model dragonflypass.ModelID
-	Part  dragonflypass.PromptPart
+	Part  dragonflypass.SharedPart
 	// Required are the parts that a prompt must have to be refused.
-	Required []dragonflypass.PromptPart
+	Required []dragonflypass.SharedPart
 	// Accounts are client accounts whose requests crashed servers. If there is one, only its requests are refused.
 	Accounts []dragonflypass.AccountID
 	Crashes  int
--- a/core/quarantiner/parts_test.go
+++ b/core/quarantiner/parts_test.go
@@ -42,7 +42,7 @@
 // suspect is a request that a crash interrupted: its account, its body and the parts of its prompt.
 type suspect struct {
 	account, body string
-	parts         []dragonflypass.PromptPart
+	parts         []dragonflypass.SharedPart
 }
 
 // newCrash returns the crash of a further server, now, with suspects that were sent 100 ms ago.
@@ -66,18 +66,18 @@
 }
 
 // refused reports whether a new request of the account with the parts is refused.
-func (s *site) refused(account string, parts ...dragonflypass.PromptPart) bool {
+func (s *site) refused(account string, parts ...dragonflypass.SharedPart) bool {
 	return s.Refuses(fingerprint(account, "new"), parts) != nil
 }
 
 // quarantine records three crashes by different requests of two accounts with the part.
-func (s *site) quarantine(part dragonflypass.PromptPart) {
+func (s *site) quarantine(part dragonflypass.SharedPart) {
 	for i, account := range []string{"a", "b", "a"} {
-		s.crash(suspect{account, fmt.Sprint("body", i), []dragonflypass.PromptPart{part}})
+		s.crash(suspect{account, fmt.Sprint("body", i), []dragonflypass.SharedPart{part}})
 	}
 }
 
-func parts(list ...dragonflypass.PromptPart) []dragonflypass.PromptPart { return list }
+func parts(list ...dragonflypass.SharedPart) []dragonflypass.SharedPart { return list }
 
 func TestPartIsRefusedAfterItsThirdCrash(t *testing.T) {
 	c := qt.New(t)
@@ -270,10 +270,10 @@
 func TestPartsOfCallersTakeLimitedMemory(t *testing.T) {
 	c := qt.New(t)
 	s := newSite(newClock())
-	flood := func(prefix string, count int) []dragonflypass.PromptPart {
-		list := make([]dragonflypass.PromptPart, count)
+	flood := func(prefix string, count int) []dragonflypass.SharedPart {
+		list := make([]dragonflypass.SharedPart, count)
 		for i := range list {
-			list[i] = dragonflypass.PromptPart(fmt.Sprintf("%s-%06d", prefix, i))
+			list[i] = dragonflypass.SharedPart(fmt.Sprintf("%s-%06d", prefix, i))
 		}
 		return list
 	}
--- a/core/quarantiner/quarantiner.go
+++ b/core/quarantiner/quarantiner.go
@@ -114,7 +114,7 @@
 		q.crashes[key] = record
 		causes = q.likelyCauses(crash.Fingerprints, now)
 	}
-	var started, ended []dragonflypass.PromptPart
+	var started, ended []dragonflypass.SharedPart
 	isNew := !known
 	for _, s := range crash.Suspects {
 		if record.reported[s.Fingerprint] || len(record.reported) >= maxCrashSuspects {
@@ -147,25 +147,25 @@
 }
 
 // reportParts counts and logs the parts whose quarantine has started or ended.
-func (q *Quarantiner) reportParts(started, ended []dragonflypass.PromptPart) {
+func (q *Quarantiner) reportParts(started, ended []dragonflypass.SharedPart) {
 	for _, part := range started {
 		q.Meter.Add(dragonflypass.CountPartQuarantined, 1)
-		q.Logger.Warn("prompt part quarantined", "part", part)
+		q.Logger.Warn("shared part quarantined", "part", part)
 	}
 	for _, part := range ended {
 		q.Meter.Add(dragonflypass.CountPartCleared, 1)
-		q.Logger.Info("prompt part cleared", "part", part)
+		q.Logger.Info("shared part cleared", "part", part)
 	}
 }
 
 // RecordBegun records that a server has begun to answer a prompt of the model with the parts, so that none of them crashes
 // servers.
-func (q *Quarantiner) RecordBegun(model dragonflypass.ModelID, parts []dragonflypass.PromptPart) {
+func (q *Quarantiner) RecordBegun(model dragonflypass.ModelID, parts []dragonflypass.SharedPart) {
 	if len(parts) == 0 {
 		return
 	}
 	now := q.Timer.Now()
-	var ended []dragonflypass.PromptPart
+	var ended []dragonflypass.SharedPart
 	q.mutex.Lock()
 	for _, part := range parts {
 		if q.parts.clear(partKey{model: model, part: part}, now, now) {
@@ -177,7 +177,7 @@
 }
 
 // Refuses returns the reason why a request with the fingerprint and the parts, which are sorted, must not run, or nil.
-func (q *Quarantiner) Refuses(fingerprint dragonflypass.Fingerprint, parts []dragonflypass.PromptPart) *dragonflypass.Refusal {
+func (q *Quarantiner) Refuses(fingerprint dragonflypass.Fingerprint, parts []dragonflypass.SharedPart) *dragonflypass.Refusal {
 	if q.Check(fingerprint) == Quarantined {
 		return dragonflypass.Refuse(dragonflypass.ReasonQuarantined, 0, "backend servers crashed while running this request")
 	}
@@ -191,7 +191,7 @@
 	return dragonflypass.Refuse(dragonflypass.ReasonQuarantined, until.Sub(now), "backend servers crashed while running requests with part %s of this prompt", part)
 }
 
-// PartStatuses returns what other VMs should know of prompt parts: those that are quarantined and those that have been
+// PartStatuses returns what other VMs should know of shared parts: those that are quarantined and those that have been
 // cleared recently.
 func (q *Quarantiner) PartStatuses() []dragonflypass.PartStatus {
 	now := q.Timer.Now()
@@ -200,13 +200,13 @@
 	return q.parts.statuses(now)
 }
 
-// MergeParts adds what another VM knows of prompt parts.
+// MergeParts adds what another VM knows of shared parts.
 func (q *Quarantiner) MergeParts(statuses []dragonflypass.PartStatus) {
 	if len(statuses) == 0 {
 		return
 	}
 	now := q.Timer.Now()
-	var started, ended []dragonflypass.PromptPart
+	var started, ended []dragonflypass.SharedPart
 	q.mutex.Lock()
 	for _, status := range statuses[:min(len(statuses), maxStatuses)] {
 		hasStarted, hasEnded := q.parts.merge(status, now)
--- a/core/relayer/attempt.go
+++ b/core/relayer/attempt.go
@@ -70,7 +70,7 @@
 	if !r.mayStart(j) {
 		return leavingRefusal()
 	}
-	return r.Quarantiner.Refuses(j.fingerprint(), j.exchange.PromptParts)
+	return r.Quarantiner.Refuses(j.fingerprint(), j.exchange.SharedParts)
 }
 
 // sendStream reserves the memory at the helpers, sends the request and waits for the head of the response. It counts the attempt
--- a/core/relayer/buffered.go
+++ b/core/relayer/buffered.go
@@ -106,7 +106,7 @@
 		outcome = assessor.Failed
 	case err == nil:
 		r.Quarantiner.RecordSuccess(j.fingerprint())
-		r.Quarantiner.RecordBegun(j.fingerprint().Model, j.exchange.PromptParts)
+		r.Quarantiner.RecordBegun(j.fingerprint().Model, j.exchange.SharedParts)
 	case errors.Is(err, dragonflypass.ErrUnavailable):
 		outcome = assessor.Inconclusive
 		if ctx.Err() == nil {
--- a/core/relayer/crash.go
+++ b/core/relayer/crash.go
@@ -77,11 +77,11 @@
 		Server: i.server.ID, Epoch: uint64(i.server.StartedAt), Fingerprints: []dragonflypass.Fingerprint{fingerprint}, At: i.at,
 	}
 	if !i.begun {
-		crash.Suspects = []dragonflypass.CrashSuspect{{Fingerprint: fingerprint, Parts: j.exchange.PromptParts, SentAt: i.sentAt}}
+		crash.Suspects = []dragonflypass.CrashSuspect{{Fingerprint: fingerprint, Parts: j.exchange.SharedParts, SentAt: i.sentAt}}
 	}
 	isNew := r.Quarantiner.RecordCrash(crash)
 	r.Logger.Info("server crashed", "server", i.server.ID, "epoch", crash.Epoch, "id", j.exchange.ID, "begun", i.begun, "account", j.match.Account,
-		"parts", j.exchange.PromptParts, "new", isNew)
+		"parts", j.exchange.SharedParts, "new", isNew)
 	if isNew {
 		r.Crashes.BroadcastCrash(crash)
 	}
--- a/core/relayer/relayer.go
+++ b/core/relayer/relayer.go
@@ -187,7 +187,7 @@
 		refusal = leavingRefusal()
 	}
 	if refusal == nil {
-		refusal = r.Quarantiner.Refuses(fingerprintOf(match, e), e.PromptParts)
+		refusal = r.Quarantiner.Refuses(fingerprintOf(match, e), e.SharedParts)
 	}
 	if refusal != nil {
 		r.Meter.Add(dragonflypass.CountRefused, 1)
--- a/core/relayer/stream.go
+++ b/core/relayer/stream.go
@@ -187,7 +187,7 @@
 	chunk, err := a.response.Next()
 	if err == nil && !chunk.Comment && a.open.prefilled.CompareAndSwap(false, true) {
 		r.Permits.Prefilled(a.permit)
-		r.Quarantiner.RecordBegun(j.fingerprint().Model, j.exchange.PromptParts)
+		r.Quarantiner.RecordBegun(j.fingerprint().Model, j.exchange.SharedParts)
 	}
 	return chunk, err
 }
--- a/crash.go
+++ b/crash.go
@@ -18,21 +18,21 @@
 type CrashSuspect struct {
 	Fingerprint Fingerprint
 	// Parts are the parts of its prompt that other prompts may share, sorted and without duplicates.
-	Parts []PromptPart
+	Parts []SharedPart
 	// SentAt is the time at which the request was sent to the server.
 	SentAt time.Time
 }
 
-// PartStatus is what an entry VM knows of a prompt part that has been suspected of crashing backend servers.
+// PartStatus is what an entry VM knows of a shared part that has been suspected of crashing backend servers.
 type PartStatus struct {
 	Model ModelID
-	Part  PromptPart
+	Part  SharedPart
 	// BegunAt is the time at which a server began to answer a prompt with the part, which shows that the part does not crash
 	// servers. If it is zero, the part is quarantined and the fields below are set.
 	BegunAt time.Time
 	// Required are the parts that a prompt must have to be refused, sorted, including Part: those that the prompts which crashed
 	// servers had in common, and which no server has begun to answer since.
-	Required []PromptPart
+	Required []SharedPart
 	// Accounts are client accounts whose requests crashed servers; if there are several, some may be missing.
 	Accounts []AccountID
 	// Quarantines is the number of times that the part has been quarantined.
--- a/exchange.go
+++ b/exchange.go
@@ -24,8 +24,8 @@
 	Credential string
 	// Prompt is nil for requests without a prompt.
 	Prompt *PromptShape
-	// PromptParts are the parts of the prompt that other prompts may share, sorted and without duplicates.
-	PromptParts []PromptPart
+	// SharedParts are the parts of the prompt that other prompts may share, sorted and without duplicates.
+	SharedParts []SharedPart
 	// LastEventID is the identifier of the last event that the caller received of an earlier response, empty for none.
 	LastEventID string
 	// Fingerprint is the hash of the parts that identify a retry of the same request.
@@ -46,8 +46,8 @@
 	ExpectedTokens int
 }
 
-// PromptPart identifies a part of a prompt, such as a system prompt or a document, by its content.
-type PromptPart string
+// SharedPart identifies a part of a prompt, such as a system prompt or a document, by its content.
+type SharedPart string
 
 // BackendRequest is one attempt to send an exchange to a backend server.
 type BackendRequest struct {
--- a/internal/fake/backend.go
+++ b/internal/fake/backend.go
@@ -47,7 +47,7 @@
 const CrashBody = "crash"
 
 // CrashPart is a part of prompts that crashes every server as it begins to generate the answer.
-const CrashPart = dragonflypass.PromptPart("crash")
+const CrashPart = dragonflypass.SharedPart("crash")
 
 // Backend is an in-memory backend server. Its exported fields must be set before it is used.
 type Backend struct {
@@ -262,7 +262,7 @@
 	b.setUser(request.Helpers, server)
 	r := &backendResponse{ctx: ctx, server: server, fault: fault, start: time.Now(), stream: request.EventStream}
 	r.onClose = func() { b.setUser(request.Helpers, nil) }
-	r.crashes = slices.Contains(request.Exchange.PromptParts, CrashPart)
+	r.crashes = slices.Contains(request.Exchange.SharedParts, CrashPart)
 	r.head = dragonflypass.ResponseHead{Status: http.StatusOK, Signed: fault != BackendUnsigned, EventStream: r.stream}
 	if fault == BackendFailing {
 		r.head.Status, r.stream, r.head.EventStream = http.StatusInternalServerError, false, false
--- a/internal/fake/site.go
+++ b/internal/fake/site.go
@@ -251,7 +251,7 @@
 }
 
 // CompleteInto sends a prompt with shared parts through the node, records the answer in a and waits until the request ends.
-func (s *Site) CompleteInto(ctx context.Context, a *Answer, node int, prompt string, maxOutputTokens int, rank dragonflypass.Rank, parts ...dragonflypass.PromptPart) {
+func (s *Site) CompleteInto(ctx context.Context, a *Answer, node int, prompt string, maxOutputTokens int, rank dragonflypass.Rank, parts ...dragonflypass.SharedPart) {
 	a.Usage, a.Err = s.Nodes[node].Dispatcher.Complete(ctx, dispatcher.CompletionRequest{
 		ID: "test", Account: SiteAccount, Model: SiteModel, Rank: rank, Prompt: prompt, MaxOutputTokens: maxOutputTokens,
 		BodyHash: sha256.Sum256([]byte(prompt)), Parts: parts, Arrived: time.Now(),
--- a/permit.go
+++ b/permit.go
@@ -25,7 +25,7 @@
 	Fingerprint  Fingerprint
 	// Parts are the parts of the prompt that other prompts may share, sorted; the platform's path leaves them out, because the
 	// VM of the caller checks them.
-	Parts    []PromptPart
+	Parts    []SharedPart
 	Deadline time.Time
 	// LatestStart is the time after which the request can no longer finish by its deadline.
 	LatestStart time.Time
@@ -94,7 +94,7 @@
 	Tokens      int
 	Fingerprint Fingerprint
 	// Parts are those of the permit request.
-	Parts    []PromptPart
+	Parts    []SharedPart
 	Rank     Rank
 	Account  AccountID
 	Deadline time.Time
--- a/request.go
+++ b/request.go
@@ -37,7 +37,7 @@
 	ExpectedTokens int
 	Fingerprint    Fingerprint
 	// Parts are the parts of the prompt that other prompts may share, sorted and without duplicates.
-	Parts   []PromptPart
+	Parts   []SharedPart
 	Arrived time.Time
 	// Deadline is the time by which the request finishes or fails.
 	Deadline time.Time
--- a/vm.go
+++ b/vm.go
@@ -75,7 +75,7 @@
 	ZoneSizes map[AvailabilityZone]int
 	// ShardLoads are the load summaries of the shards for which the sender grants permits.
 	ShardLoads []ShardLoad
-	// Parts are the statuses of the prompt parts that the sender suspects, or has cleared recently.
+	// Parts are the statuses of the shared parts of prompts that the sender suspects, or has cleared recently.
 	Parts []PartStatus
 }
 
