Shorten the first quarantine of a shared part to two minutes

A sound part that has been quarantined by mistake cannot be cleared, since no server begins an answer to it: ten minutes were long for its callers. A part that does crash servers costs one more after two, four, eight minutes. A status from another VM that ends within a second no longer starts a quarantine.

--- a/core/quarantiner/parts.go
+++ b/core/quarantiner/parts.go
@@ -18,7 +18,7 @@
 	partAccountLimit = 2
 	// firstPartQuarantine is the duration of the first quarantine of a part. It doubles with each further one, up to
 	// quarantineDuration.
-	firstPartQuarantine = 10 * time.Minute
+	firstPartQuarantine = 2 * time.Minute
 	// orderTolerance is the error with which the order of events at different VMs is known.
 	orderTolerance = 20 * time.Millisecond
 	// begunRetention is how long it is known that an answer was begun. It is longer than a report of a crash takes.
@@ -362,7 +362,7 @@
 		return false, false
 	}
 	record = t.record(id)
-	started = !record.quarantined(now)
+	wasQuarantined := record.quarantined(now)
 	record.restrictTo(status.Required, status.Required)
 	for _, account := range status.Accounts {
 		record.addAccount(account)
@@ -374,7 +374,7 @@
 	if status.QuarantinedUntil.Sub(record.quarantinedUntil) > mergeTolerance {
 		record.quarantinedUntil = status.QuarantinedUntil
 	}
-	return started, false
+	return !wasQuarantined && record.quarantined(now), false
 }
 
 // statuses returns the statuses of the quarantined parts, and of those that have been cleared recently.
