Do not refuse a request that goes on as a copy of itself

What callers saw: a completion that was moved to another server before a planned stop ended with 'busy: a backend server crashed while running a copy of this request', in the middle of its answer.

Cause: owners refuse copies of a request that has just crashed a server, and told a copy by the number of its streams that failed. A request whose server is being stopped, or whose next server crashes before its stream has begun there, has none, although its answer has begun.

TestMovedRequestIsNotRefusedAsCopy fails without this change.

--- a/adapter/messenger/message.go
+++ b/adapter/messenger/message.go
@@ -70,20 +70,22 @@
 	Fingerprint    fingerprint `cbor:"print"`
 	// Deadline, LatestStart and FirstTokenDeadline are encoded as the time remaining in nanoseconds, because the clocks
 	// of VMs differ.
-	Deadline           int64    `cbor:"deadline"`
-	LatestStart        int64    `cbor:"latest,omitempty"`
-	FirstTokenDeadline int64    `cbor:"target,omitempty"`
-	StreamFailures     int      `cbor:"breaks,omitempty"`
-	ExcludedServers    []string `cbor:"exclude,omitempty"`
-	PinnedServer       string   `cbor:"only,omitempty"`
-	Group              uint64   `cbor:"group,omitempty"`
-	Service            string   `cbor:"service,omitempty"`
-	Zone               string   `cbor:"zone,omitempty"`
-	Index              int      `cbor:"index,omitempty"`
-	Moved              bool     `cbor:"moved,omitempty"`
-	ID                 string   `cbor:"id,omitempty"`
-	Priority           int      `cbor:"level,omitempty"`
-	MaxEventGap        int64    `cbor:"gap,omitempty"`
+	Deadline           int64 `cbor:"deadline"`
+	LatestStart        int64 `cbor:"latest,omitempty"`
+	FirstTokenDeadline int64 `cbor:"target,omitempty"`
+	StreamFailures     int   `cbor:"breaks,omitempty"`
+	// Begun is ignored by the versions that do not know it.
+	Begun           bool     `cbor:"begun,omitempty"`
+	ExcludedServers []string `cbor:"exclude,omitempty"`
+	PinnedServer    string   `cbor:"only,omitempty"`
+	Group           uint64   `cbor:"group,omitempty"`
+	Service         string   `cbor:"service,omitempty"`
+	Zone            string   `cbor:"zone,omitempty"`
+	Index           int      `cbor:"index,omitempty"`
+	Moved           bool     `cbor:"moved,omitempty"`
+	ID              string   `cbor:"id,omitempty"`
+	Priority        int      `cbor:"level,omitempty"`
+	MaxEventGap     int64    `cbor:"gap,omitempty"`
 	// Parts is ignored by the versions that do not know it.
 	Parts []string `cbor:"parts,omitempty"`
 }
@@ -218,7 +220,7 @@
 		PromptTokens: r.PromptTokens, OutputTokens: r.OutputTokens, ExpectedTokens: r.ExpectedTokens,
 		TimePerToken: int64(r.TimePerToken), Fingerprint: toFingerprint(r.Fingerprint),
 		Deadline: toRemaining(r.Deadline, now), LatestStart: toRemaining(r.LatestStart, now), FirstTokenDeadline: toRemaining(r.FirstTokenDeadline, now),
-		StreamFailures: r.StreamFailures, PinnedServer: string(r.PinnedServer), Group: r.Group,
+		StreamFailures: r.StreamFailures, Begun: r.Begun, PinnedServer: string(r.PinnedServer), Group: r.Group,
 		Service: string(r.Service), Zone: string(r.Part.Zone), Index: r.Part.Index, Moved: r.Moved, ID: r.ID, Priority: r.Priority, MaxEventGap: int64(r.MaxEventGap),
 		Parts: toStrings(r.Parts),
 	}
@@ -235,7 +237,7 @@
 		PromptTokens: w.PromptTokens, OutputTokens: w.OutputTokens, ExpectedTokens: w.ExpectedTokens,
 		TimePerToken: time.Duration(w.TimePerToken), Fingerprint: w.Fingerprint.fingerprint(),
 		Deadline: fromRemaining(w.Deadline, now), LatestStart: fromRemaining(w.LatestStart, now), FirstTokenDeadline: fromRemaining(w.FirstTokenDeadline, now),
-		StreamFailures: w.StreamFailures, PinnedServer: dragonflypass.ServerID(w.PinnedServer), Group: w.Group,
+		StreamFailures: w.StreamFailures, Begun: w.Begun, PinnedServer: dragonflypass.ServerID(w.PinnedServer), Group: w.Group,
 		Service: dragonflypass.ServiceID(w.Service), Part: toPart(w.Zone, w.Index), Moved: w.Moved, ID: w.ID, Priority: w.Priority, MaxEventGap: time.Duration(w.MaxEventGap),
 		Parts: fromStrings[dragonflypass.SharedPart](w.Parts),
 	}
--- a/core/composer/move_test.go
+++ b/core/composer/move_test.go
@@ -1,6 +1,7 @@
 package composer_test
 
 import (
+	"crypto/sha256"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -111,6 +112,27 @@
 	}
 }
 
+// TestMovedRequestIsNotRefusedAsCopy reports a crash of a server that ran a request shortly before the request, whose answer has
+// begun, is moved to another server.
+func TestMovedRequestIsNotRefusedAsCopy(t *testing.T) {
+	withSite(t, 3, 3, func(c *qt.C, s *fake.Site) {
+		m := startMigration(c, s, func(m *migration) {
+			// Requests are moved 3 s before the window, which starts in 12 s.
+			time.AfterFunc(8900*time.Millisecond, func() {
+				crash := dragonflypass.ServerCrash{Server: "gone", Epoch: 1, At: time.Now(), Fingerprints: []dragonflypass.Fingerprint{
+					{Account: fake.SiteAccount, Model: fake.SiteModel, Body: sha256.Sum256([]byte(m.text))},
+				}}
+				for _, n := range s.Nodes {
+					c.Check(n.Quarantiner.RecordCrash(crash), qt.IsTrue)
+				}
+			})
+		})
+		<-m.done
+		checkCompleteAnswer(c, m.answer, m.text, migrationOutputTokens)
+		checkServerMemoryFreed(c, s)
+	})
+}
+
 // TestEntryVMCrashesDuringMigration kills an entry VM while its request has a stream at both servers.
 func TestEntryVMCrashesDuringMigration(t *testing.T) {
 	withSite(t, 3, 3, func(c *qt.C, s *fake.Site) {
--- a/core/dispatcher/acquire.go
+++ b/core/dispatcher/acquire.go
@@ -135,6 +135,7 @@
 		LatestStart:        d.latestStart(j, current),
 		FirstTokenDeadline: FirstTokenDeadline(r, current.Ranks[r.Rank]),
 		StreamFailures:     j.streamFailures,
+		Begun:              j.deliveredTokens > 0,
 		ExcludedServers:    j.excludedServers,
 	}
 }
--- a/core/scheduler/suspect.go
+++ b/core/scheduler/suspect.go
@@ -15,7 +15,8 @@
 		return refusal
 	}
 	decision := s.Quarantiner.Check(request.Fingerprint)
-	if request.StreamFailures == 0 && slices.Contains(busyDecisions, decision) {
+	// A request that goes on after an interruption is no copy.
+	if request.StreamFailures == 0 && !request.Begun && slices.Contains(busyDecisions, decision) {
 		return dragonflypass.Refuse(dragonflypass.ReasonBusy, minRetryAfter, "a backend server crashed while running a copy of this request")
 	}
 	return nil
--- a/permit.go
+++ b/permit.go
@@ -33,6 +33,8 @@
 	FirstTokenDeadline time.Time
 	// StreamFailures is the number of streams of this request that failed at a backend server.
 	StreamFailures int
+	// Begun is set once the caller has received a part of the answer.
+	Begun bool
 	// ExcludedServers lists the servers on which the request has failed.
 	ExcludedServers []ServerID
 	// PinnedServer is the only server that may run the stream, empty for any.
