--- a/core/composer/part_test.go
+++ b/core/composer/part_test.go
@@ -150,6 +150,77 @@
 	})
 }
 
+// quarantineCrashPart sends crashing requests through the first VM until the part that crashes servers is quarantined there,
+// and waits until the reports of the crashes have reached the other VMs.
+func quarantineCrashPart(c *qt.C, s *fake.RelaySite) {
+	c.Helper()
+	for i := range 4 {
+		s.Send(0, newPartExchange(fmt.Sprintf("crashing-%d", i), fake.CrashPart, "shared-0"))
+	}
+	checkRefused(c, s, 0)
+	time.Sleep(100 * time.Millisecond)
+}
+
+// checkRefused checks that the VM refuses a request with the part that crashes servers, and sends it to none.
+func checkRefused(c *qt.C, s *fake.RelaySite, node int) {
+	c.Helper()
+	id := fmt.Sprintf("refused-%d", node)
+	got := s.Send(node, newPartExchange(id, fake.CrashPart, "shared-0"))
+	c.Check(refusalReason(got.Err), qt.Equals, dragonflypass.ReasonQuarantined, qt.Commentf("VM %d", node))
+	c.Check(executionCount(s.ModelServers, id), qt.Equals, 0)
+}
+
+// TestRestartedVMsKnowQuarantinedParts restarts all VMs in turn, among them the owner of the servers and all that saw a crash.
+func TestRestartedVMsKnowQuarantinedParts(t *testing.T) {
+	withRelaySite(t, 6, 1, 9, func(c *qt.C, s *fake.RelaySite) {
+		watch(s)
+		quarantineCrashPart(c, s)
+		for i := range s.Nodes {
+			s.Kill(i)
+			s.StartNode(i)
+			time.Sleep(time.Second)
+			checkRefused(c, s, i)
+		}
+	})
+}
+
+// TestVMsThatWereCutOffLearnOfQuarantinedParts quarantines a part while a zone is cut off from the others.
+func TestVMsThatWereCutOffLearnOfQuarantinedParts(t *testing.T) {
+	withRelaySite(t, 6, 1, 9, func(c *qt.C, s *fake.RelaySite) {
+		watch(s)
+		cutOff := []int{2, 5}
+		setCutOff := func(disconnected bool) {
+			for _, i := range cutOff {
+				for k := range s.Nodes {
+					if !slices.Contains(cutOff, k) {
+						s.Network.SetDisconnected(s.VM(i).ID, s.VM(k).ID, disconnected)
+					}
+				}
+			}
+		}
+		setCutOff(true)
+		time.Sleep(5 * time.Second)
+		quarantineCrashPart(c, s)
+		setCutOff(false)
+		time.Sleep(3 * time.Second)
+		for i := range s.Nodes {
+			checkRefused(c, s, i)
+		}
+	})
+}
+
+// TestLargeFleetLearnsOfQuarantinedParts quarantines a part in a fleet that exchanges heartbeats through hubs.
+func TestLargeFleetLearnsOfQuarantinedParts(t *testing.T) {
+	withRelaySite(t, 24, 1, 9, func(c *qt.C, s *fake.RelaySite) {
+		watch(s)
+		quarantineCrashPart(c, s)
+		time.Sleep(3 * time.Second)
+		for i := range s.Nodes {
+			checkRefused(c, s, i)
+		}
+	})
+}
+
 func TestRelayForgetsSuspectsInTime(t *testing.T) {
 	withRelaySite(t, 2, 1, 2, func(c *qt.C, s *fake.RelaySite) {
 		watch(s)
