--- a/core/relayer/crash.go
+++ b/core/relayer/crash.go
@@ -34,9 +34,13 @@
 	if !errors.Is(err, dragonflypass.ErrUncertain) && !errors.Is(err, dragonflypass.ErrBroken) {
 		return
 	}
+	if ctx.Err() != nil {
+		// This VM or the caller has ended the attempt.
+		return
+	}
 	entry, listed := r.Directory.Server(server)
-	if ctx.Err() != nil || !listed {
-		r.Logger.Info("interrupted request not checked", "id", j.exchange.ID, "server", server, "begun", begun, "listed", listed, "cause", context.Cause(ctx))
+	if !listed {
+		r.Logger.Info("interrupted request, server not listed", "id", j.exchange.ID, "server", server, "begun", begun)
 		return
 	}
 	i := interruption{server: entry, sentAt: sentAt, at: r.Timer.Now(), begun: begun}
--- a/core/relayer/open.go
+++ b/core/relayer/open.go
@@ -173,9 +173,8 @@
 }
 
 // Sweep renews the leases of the open streams at servers that this VM owns, and ends the acceptance of requests during a
-// shutdown. It replaces the attempts of streams that have
-// stalled or whose servers are unreachable, and probes the servers of streams that are about to stall or that keep memory
-// reserved.
+// shutdown. It replaces the attempts of streams that have stalled or whose servers are unreachable, and probes the servers of
+// streams that are about to stall or that keep memory reserved.
 func (r *Relayer) Sweep(context.Context) {
 	r.RenewLocalLeases()
 	now := r.Timer.Now()
