--- a/core/quarantiner/doc.go
+++ b/core/quarantiner/doc.go
@@ -1,2 +1,3 @@
-// Package quarantiner detects requests that crash the backend servers that execute them, and prevents further executions.
+// Package quarantiner detects requests that crash the backend servers that execute them, and parts of prompts that do so in
+// different requests, and prevents further executions.
 package quarantiner
