--- a/core/composer/shutdown_test.go
+++ b/core/composer/shutdown_test.go
@@ -13,17 +13,24 @@
 	"github.com/dragonflypass/dragonflypass/internal/fake"
 )
 
+// sendWaitingPrompts sends two prompts through the first VM. The first one waits for the only server, which sends no head for a
+// long time, and the second one for its permit.
+func sendWaitingPrompts(s *fake.RelaySite) []chan *fake.ResponseRecorder {
+	s.ModelServers[0].TimeToHead = 20 * time.Second
+	answers := make([]chan *fake.ResponseRecorder, 2)
+	for i, tokens := range []int{500, 150_000} {
+		answers[i] = make(chan *fake.ResponseRecorder, 1)
+		e := fake.NewExchange(fmt.Sprintf("stream-%d", i), "/single/x", tokens)
+		go func() { answers[i] <- s.Send(0, e) }()
+		time.Sleep(500 * time.Millisecond)
+	}
+	return answers
+}
+
 // TestRequestWaitingAtEndOfShutdownIsRefused ends a shutdown while one prompt waits for a permit and another for its server.
 func TestRequestWaitingAtEndOfShutdownIsRefused(t *testing.T) {
 	withRelaySite(t, 1, 1, 1, func(c *qt.C, s *fake.RelaySite) {
-		s.ModelServers[0].TimeToHead = 20 * time.Second
-		answers := make([]chan *fake.ResponseRecorder, 2)
-		for i, tokens := range []int{500, 150_000} {
-			answers[i] = make(chan *fake.ResponseRecorder, 1)
-			e := fake.NewExchange(fmt.Sprintf("stream-%d", i), "/single/x", tokens)
-			go func() { answers[i] <- s.Send(0, e) }()
-			time.Sleep(500 * time.Millisecond)
-		}
+		answers := sendWaitingPrompts(s)
 		s.Nodes[0].Leave(s.Context)
 		time.Sleep(time.Second)
 		start := time.Now()
@@ -77,14 +84,7 @@
 		s := fake.NewRelaySite(t.Context(), 1, 1, 1)
 		setShutdownTime(s)
 		s.Start()
-		s.ModelServers[0].TimeToHead = 20 * time.Second
-		answers := make([]chan *fake.ResponseRecorder, 2)
-		for i, tokens := range []int{500, 150_000} {
-			answers[i] = make(chan *fake.ResponseRecorder, 1)
-			e := fake.NewExchange(fmt.Sprintf("stream-%d", i), "/single/x", tokens)
-			go func() { answers[i] <- s.Send(0, e) }()
-			time.Sleep(500 * time.Millisecond)
-		}
+		answers := sendWaitingPrompts(s)
 		start := time.Now()
 		s.Nodes[0].Leave(s.Context)
 		refusal, ok := dragonflypass.AsRefusal((<-answers[1]).Err)
