Tell VMs that start of the requests that crash servers

Callers saw their answers cut: a request that all VMs refused, since it had crashed three servers, crashed three more through each VM that had been restarted.

Cause: the reports of crashes are the only way in which a VM learns of a request that crashes servers, and each is sent once. A VM that starts, joins or was cut off has missed them and counts from zero. Heartbeats carried the quarantined parts of prompts, but no requests.

Heartbeats now carry the requests that are quarantined, or will be at the next crash, with the identities of the crashes that count: a crash that is both reported and in a status counts once. A VM that has seen a server complete the request since its last crash does not take the quarantine over and has the others end it. The same holds for serve, whose owners restart too.

--- a/adapter/messenger/crash.go
+++ b/adapter/messenger/crash.go
@@ -24,6 +24,21 @@
 	SinceSent int64 `cbor:"sent"`
 }
 
+// requestStatus encodes times as the time since then.
+type requestStatus struct {
+	Fingerprint     fingerprint `cbor:"print"`
+	Crashes         []crashID   `cbor:"crashes,omitempty"`
+	SinceCrash      int64       `cbor:"crash,omitempty"`
+	SinceCompletion int64       `cbor:"completed,omitempty"`
+}
+
+// crashID is encoded as an array to save space.
+type crashID struct {
+	_      struct{} `cbor:",toarray"`
+	Server string
+	Epoch  uint64
+}
+
 // partStatus encodes times as the time since then, or until then.
 type partStatus struct {
 	Model       string   `cbor:"model"`
@@ -78,6 +93,24 @@
 	return c
 }
 
+func toRequestStatus(s dragonflypass.RequestStatus, now time.Time) requestStatus {
+	w := requestStatus{Fingerprint: toFingerprint(s.Fingerprint), SinceCrash: toAge(s.LastCrash, now), SinceCompletion: toAge(s.CompletedAt, now)}
+	for _, id := range s.Crashes {
+		w.Crashes = append(w.Crashes, crashID{Server: string(id.Server), Epoch: id.Epoch})
+	}
+	return w
+}
+
+func (w requestStatus) status(now time.Time) dragonflypass.RequestStatus {
+	s := dragonflypass.RequestStatus{
+		Fingerprint: w.Fingerprint.fingerprint(), LastCrash: fromAge(w.SinceCrash, now), CompletedAt: fromAge(w.SinceCompletion, now),
+	}
+	for _, id := range w.Crashes {
+		s.Crashes = append(s.Crashes, dragonflypass.CrashID{Server: dragonflypass.ServerID(id.Server), Epoch: id.Epoch})
+	}
+	return s
+}
+
 func toPartStatus(s dragonflypass.PartStatus, now time.Time) partStatus {
 	w := partStatus{
 		Model: string(s.Model), Part: string(s.Part), SinceBegun: toAge(s.BegunAt, now), Required: toStrings(s.Required), Accounts: toStrings(s.Accounts),
--- a/adapter/messenger/heartbeat.go
+++ b/adapter/messenger/heartbeat.go
@@ -35,6 +35,8 @@
 	ShardLoads []shardLoad    `cbor:"shards,omitempty"`
 	// Parts is ignored by the versions that do not know it.
 	Parts []partStatus `cbor:"parts,omitempty"`
+	// Requests is ignored by the versions that do not know it.
+	Requests []requestStatus `cbor:"requests,omitempty"`
 }
 
 // shardLoad is encoded as an array to save space.
@@ -126,6 +128,9 @@
 	for _, s := range hb.Parts {
 		w.Parts = append(w.Parts, toPartStatus(s, now))
 	}
+	for _, s := range hb.Requests {
+		w.Requests = append(w.Requests, toRequestStatus(s, now))
+	}
 	if len(hb.ZoneSizes) > 0 {
 		w.ZoneSizes = make(map[string]int, len(hb.ZoneSizes))
 		for zone, size := range hb.ZoneSizes {
@@ -221,6 +226,9 @@
 	for _, s := range w.Parts {
 		hb.Parts = append(hb.Parts, s.status(now))
 	}
+	for _, s := range w.Requests {
+		hb.Requests = append(hb.Requests, s.status(now))
+	}
 	if len(w.ZoneSizes) > 0 {
 		hb.ZoneSizes = make(map[dragonflypass.AvailabilityZone]int, len(w.ZoneSizes))
 		for zone, size := range w.ZoneSizes {
--- a/adapter/messenger/messenger_test.go
+++ b/adapter/messenger/messenger_test.go
@@ -192,6 +192,10 @@
 			{Model: "m", Part: "p", Required: []dragonflypass.SharedPart{"o", "p"}, Accounts: []dragonflypass.AccountID{"a"}, Quarantines: 2, LastCrash: time.Now().Add(-time.Hour), QuarantinedUntil: time.Now().Add(time.Hour)},
 			{Model: "m", Part: "q", BegunAt: time.Now().Add(-time.Hour)},
 		},
+		Requests: []dragonflypass.RequestStatus{
+			{Fingerprint: dragonflypass.Fingerprint{Account: "a", Model: "m", Body: dragonflypass.Digest{1}}, Crashes: []dragonflypass.CrashID{{Server: "s", Epoch: 4}}, LastCrash: time.Now().Add(-time.Hour)},
+			{Fingerprint: dragonflypass.Fingerprint{Account: "b"}, CompletedAt: time.Now().Add(-time.Hour)},
+		},
 	}
 	got, err := client.ExchangeHeartbeat(t.Context(), vm, sent)
 	c.Assert(err, qt.IsNil)
@@ -200,6 +204,7 @@
 	c.Check(got.InheritedStreams, qt.CmpEquals(cmpopts.EquateApproxTime(time.Minute)), sent.InheritedStreams)
 	c.Check(got.Watermarks, qt.DeepEquals, sent.Watermarks)
 	c.Check(got.Parts, qt.CmpEquals(cmpopts.EquateApproxTime(time.Minute)), sent.Parts)
+	c.Check(got.Requests, qt.CmpEquals(cmpopts.EquateApproxTime(time.Minute)), sent.Requests)
 	c.Check(got.Loads[0].Wait, qt.Equals, [dragonflypass.ClassCount]time.Duration{time.Second, 0, 0, time.Hour})
 	page, err := client.ConfigEntries(t.Context(), vm, 12)
 	c.Assert(err, qt.IsNil)
--- a/core/composer/composer.go
+++ b/core/composer/composer.go
@@ -197,9 +197,10 @@
 	n.Detector.ConfigOffset = func() dragonflypass.Offset { return n.Configurer.Current().Offset }
 	n.Detector.Loads = n.Scheduler.Loads
 	n.Detector.OpenStreams = n.Dispatcher.OpenStreams
-	n.Detector.PartStatuses = n.Quarantiner.PartStatuses
+	n.Detector.PartStatuses, n.Detector.RequestStatuses = n.Quarantiner.PartStatuses, n.Quarantiner.RequestStatuses
 	n.Detector.Received = func(heartbeat dragonflypass.Heartbeat) {
 		n.Quarantiner.MergeParts(heartbeat.Parts)
+		n.Quarantiner.MergeRequests(heartbeat.Requests)
 		n.Scheduler.HandleHeartbeat(heartbeat)
 	}
 	n.Detector.Subscribe(n.Assigner.Assign)
--- a/core/composer/part_test.go
+++ b/core/composer/part_test.go
@@ -33,7 +33,7 @@
 // watch restarts each server serverDowntime after a request has crashed it.
 func watch(s *fake.RelaySite) *crashRecorder {
 	r := &crashRecorder{site: s}
-	for _, b := range s.ModelServers {
+	for _, b := range slices.Concat(s.ModelServers, s.PlainServers) {
 		b.Crashed = r.record
 	}
 	return r
--- a/core/detector/detector.go
+++ b/core/detector/detector.go
@@ -74,6 +74,8 @@
 	ShardLoads func() []dragonflypass.ShardLoad
 	// PartStatuses returns what other VMs should know of shared parts of prompts that crash servers.
 	PartStatuses func() []dragonflypass.PartStatus
+	// RequestStatuses returns what other VMs should know of requests that crash servers.
+	RequestStatuses func() []dragonflypass.RequestStatus
 	// Received is called with each heartbeat from another VM, with no lock held.
 	Received func(dragonflypass.Heartbeat)
 	// Watermarks returns the watermarks of the platform's topics on this VM.
@@ -139,6 +141,7 @@
 		HeartbeatAnswered: func(time.Duration, dragonflypass.Heartbeat) {},
 		ShardLoads:        func() []dragonflypass.ShardLoad { return nil },
 		PartStatuses:      func() []dragonflypass.PartStatus { return nil },
+		RequestStatuses:   func() []dragonflypass.RequestStatus { return nil },
 		Partners:          func() []dragonflypass.VMID { return nil },
 		Sources:           func() []dragonflypass.VMID { return nil },
 		Topology:          mesher.Mesher{},
--- a/core/detector/exchange.go
+++ b/core/detector/exchange.go
@@ -232,6 +232,7 @@
 		ZoneSizes:        sizes,
 		ShardLoads:       shardLoads,
 		Parts:            d.PartStatuses(),
+		Requests:         d.RequestStatuses(),
 		Incarnation:      d.Incarnation,
 		ConfigOffset:     d.ConfigOffset(),
 		Loads:            d.Loads(),
--- a/core/quarantiner/evidence.go
+++ b/core/quarantiner/evidence.go
@@ -32,7 +32,7 @@
 	common   []dragonflypass.SharedPart
 	required []dragonflypass.SharedPart
 	// crashes are the latest crashes, and count is the number of those that were counted.
-	crashes []crashKey
+	crashes []dragonflypass.CrashID
 	count   int
 	// requests and accounts are those of the crashes, up to partRequestLimit and partAccountLimit.
 	requests         []dragonflypass.Fingerprint
@@ -44,7 +44,7 @@
 
 // add adds a crash, unless it is known. Servers that went down together, as when a zone fails, are counted as one: only a
 // request that was sent after the last crash is further evidence.
-func (r *partRecord) add(key crashKey, suspect dragonflypass.CrashSuspect, suspected []dragonflypass.SharedPart, at time.Time) {
+func (r *partRecord) add(key dragonflypass.CrashID, suspect dragonflypass.CrashSuspect, suspected []dragonflypass.SharedPart, at time.Time) {
 	if slices.Contains(r.crashes, key) {
 		return
 	}
@@ -112,7 +112,7 @@
 	if len(r.crashes) == 0 || slices.Contains(r.common, part) {
 		return false
 	}
-	return !slices.ContainsFunc(r.crashes, func(key crashKey) bool { return !slices.Contains(cause.crashes, key) })
+	return !slices.ContainsFunc(r.crashes, func(key dragonflypass.CrashID) bool { return !slices.Contains(cause.crashes, key) })
 }
 
 // partQuarantineTime returns the duration of the quarantine with the given number.
--- a/core/quarantiner/parts.go
+++ b/core/quarantiner/parts.go
@@ -61,7 +61,7 @@
 
 // recordSuspect adds a crash for the parts of a suspect. It returns the parts whose quarantine has started, and those whose
 // quarantine has ended because another part explains their crashes.
-func (t *partTable) recordSuspect(key crashKey, suspect dragonflypass.CrashSuspect, at, now time.Time) (started, ended []dragonflypass.SharedPart) {
+func (t *partTable) recordSuspect(key dragonflypass.CrashID, suspect dragonflypass.CrashSuspect, at, now time.Time) (started, ended []dragonflypass.SharedPart) {
 	model := suspect.Fingerprint.Model
 	parts := t.suspectParts(model, suspect.Parts, at)
 	for _, part := range parts {
--- a/core/quarantiner/quarantiner.go
+++ b/core/quarantiner/quarantiner.go
@@ -57,21 +57,11 @@
 
 	mutex     locker.Mutex
 	suspects  map[dragonflypass.Fingerprint]*suspect
-	crashes   map[crashKey]*crashRecord
+	crashes   map[dragonflypass.CrashID]*crashRecord
 	successes map[dragonflypass.Fingerprint]time.Time
-	parts     partTable
-}
-
-// suspect is a request that was running on a server when the server crashed.
-type suspect struct {
-	crashes   int
-	lastCrash time.Time
-	expiresAt time.Time
-}
-
-type crashKey struct {
-	server dragonflypass.ServerID
-	epoch  uint64
+	// completions holds the suspects that servers have completed.
+	completions map[dragonflypass.Fingerprint]completion
+	parts       partTable
 }
 
 // crashRecord is a crash that has been reported. Several VMs may report it, each with its own requests.
@@ -85,11 +75,12 @@
 func New() *Quarantiner {
 	return &Quarantiner{
 		CrashLimit: defaultCrashLimit, SuccessLimit: defaultSuccessLimit,
-		mutex:     locker.Mutex{Order: locker.Suspects},
-		suspects:  make(map[dragonflypass.Fingerprint]*suspect),
-		crashes:   make(map[crashKey]*crashRecord),
-		successes: make(map[dragonflypass.Fingerprint]time.Time),
-		parts:     newPartTable(),
+		mutex:       locker.Mutex{Order: locker.Suspects},
+		suspects:    make(map[dragonflypass.Fingerprint]*suspect),
+		crashes:     make(map[dragonflypass.CrashID]*crashRecord),
+		successes:   make(map[dragonflypass.Fingerprint]time.Time),
+		completions: make(map[dragonflypass.Fingerprint]completion),
+		parts:       newPartTable(),
 	}
 }
 
@@ -104,7 +95,7 @@
 // the crash, or one of its suspects, is a new one.
 func (q *Quarantiner) RecordCrash(crash dragonflypass.ServerCrash) bool {
 	now := q.Timer.Now()
-	key := crashKey{server: crash.Server, epoch: crash.Epoch}
+	key := dragonflypass.CrashID{Server: crash.Server, Epoch: crash.Epoch}
 	q.mutex.Lock()
 	record, known := q.crashes[key]
 	var causes []dragonflypass.Fingerprint
@@ -130,7 +121,7 @@
 	}
 	quarantined := 0
 	for _, fingerprint := range causes {
-		if q.countCrash(fingerprint, now) {
+		if q.countCrash(fingerprint, key, now) {
 			quarantined++
 		}
 	}
@@ -238,22 +229,12 @@
 
 // countCrash counts a crash for the fingerprint and reports whether this puts it in quarantine. It is called with the
 // mutex held.
-func (q *Quarantiner) countCrash(fingerprint dragonflypass.Fingerprint, now time.Time) bool {
-	s, ok := q.suspects[fingerprint]
-	if !ok || !now.Before(s.expiresAt) {
-		evictIfFull(q.suspects, maxSuspects, func(a, b *suspect) bool { return a.expiresAt.Before(b.expiresAt) })
-		s = &suspect{}
-		q.suspects[fingerprint] = s
-	}
+func (q *Quarantiner) countCrash(fingerprint dragonflypass.Fingerprint, crash dragonflypass.CrashID, now time.Time) bool {
 	delete(q.successes, fingerprint)
-	s.crashes++
-	s.lastCrash = now
-	if s.crashes < q.CrashLimit {
-		s.expiresAt = now.Add(suspectDuration)
-		return false
-	}
-	s.expiresAt = now.Add(quarantineDuration)
-	return s.crashes == q.CrashLimit
+	s := q.suspectOf(fingerprint, now)
+	wasQuarantined := s.quarantined(q.CrashLimit)
+	s.add([]dragonflypass.CrashID{crash}, now, q.CrashLimit)
+	return !wasQuarantined && s.quarantined(q.CrashLimit)
 }
 
 // RecordSuccess records that a request completed. Unless it is quarantined, it is no longer a suspect.
@@ -264,9 +245,7 @@
 	if len(q.successes) < q.SuccessLimit {
 		q.successes[fingerprint] = now
 	}
-	if s, ok := q.suspects[fingerprint]; ok && s.crashes < q.CrashLimit {
-		delete(q.suspects, fingerprint)
-	}
+	q.recordCompletion(fingerprint, now)
 }
 
 // RecentlySucceeded reports whether the request completed recently, so that several copies of it may run at the same time.
@@ -292,7 +271,7 @@
 		return Allowed
 	}
 	switch {
-	case s.crashes >= q.CrashLimit:
+	case s.quarantined(q.CrashLimit):
 		return Quarantined
 	case now.Sub(s.lastCrash) < crashBroadcastTime:
 		return Delayed
@@ -339,25 +318,10 @@
 			delete(q.suspects, fingerprint)
 		}
 	}
-	q.parts.sweep(now)
-}
-
-// Suspect describes a suspected or quarantined request in a state dump.
-type Suspect struct {
-	Account dragonflypass.AccountID
-	Model   dragonflypass.ModelID
-	Crashes int
-	// Until is the time at which the suspicion or the quarantine expires.
-	Until time.Time
-}
-
-// Suspects returns the suspects for a state dump, in no particular order.
-func (q *Quarantiner) Suspects() []Suspect {
-	q.mutex.Lock()
-	defer q.mutex.Unlock()
-	suspects := make([]Suspect, 0, len(q.suspects))
-	for fingerprint, s := range q.suspects {
-		suspects = append(suspects, Suspect{Account: fingerprint.Account, Model: fingerprint.Model, Crashes: s.crashes, Until: s.expiresAt})
+	for fingerprint, c := range q.completions {
+		if now.Sub(c.at) > completionRetention {
+			delete(q.completions, fingerprint)
+		}
 	}
-	return suspects
+	q.parts.sweep(now)
 }
--- a/crash.go
+++ b/crash.go
@@ -2,6 +2,13 @@
 
 import "time"
 
+// CrashID identifies a crash of a backend server.
+type CrashID struct {
+	Server ServerID
+	// Epoch is the server's epoch before the crash.
+	Epoch uint64
+}
+
 // ServerCrash reports the crash of a backend server and the requests that it was running.
 type ServerCrash struct {
 	Server ServerID
@@ -23,6 +30,17 @@
 	SentAt time.Time
 }
 
+// RequestStatus is what an entry VM knows of a request that backend servers were running when they crashed.
+type RequestStatus struct {
+	Fingerprint Fingerprint
+	// Crashes are the crashes that count against the request, and LastCrash is the time of the last one.
+	Crashes   []CrashID
+	LastCrash time.Time
+	// CompletedAt is the time at which a server completed the request, although another VM has quarantined it. It is zero if
+	// no server did since the last crash.
+	CompletedAt time.Time
+}
+
 // PartStatus is what an entry VM knows of a shared part that has been suspected of crashing backend servers.
 type PartStatus struct {
 	Model ModelID
--- a/vm.go
+++ b/vm.go
@@ -77,6 +77,9 @@
 	ShardLoads []ShardLoad
 	// Parts are the statuses of the shared parts of prompts that the sender suspects, or has cleared recently.
 	Parts []PartStatus
+	// Requests are the statuses of the requests that the sender has quarantined or will at the next crash, and of those that
+	// were quarantined by mistake.
+	Requests []RequestStatus
 }
 
 // PeerStatus is the liveness of an entry VM as observed by another one.
