Replace connections between VMs that have gone silent

Each granted permits for all model servers, kept the retry budget of a whole fleet and received no report of a crash.

Cause: Client.conn returns an open connection until a read or a write on it fails. Heartbeats that time out did not end it, and nothing pinged the peer, so that VMs went on writing to connections that nobody read.

When a response is overdue and nothing has arrived since its request, the client pings the peer and closes the connection if there is no answer in 500 ms; the next message makes a new one. Peers answer pings as they read, so one that is only slow keeps its connections. Idle connections are checked every 30 s at both ends: the server's end of a silent connection kept its permit requests and its memory for good. Connections are also dialed with a TCP user timeout, and not through a proxy that the environment names.

--- a/adapter/assembler/assembler.go
+++ b/adapter/assembler/assembler.go
@@ -1,6 +1,7 @@
 package assembler
 
 import (
+	"context"
 	"io"
 	"time"
 
@@ -82,6 +83,14 @@
 	return c, err
 }
 
+// checkPeers periodically closes the silent connections between this VM and others until stop is called.
+func checkPeers(service dragonflypass.Timer, client *messenger.Client, server *messenger.Server) (stop func()) {
+	return service.Every(dragonflypass.JobPeer, messenger.CheckInterval, func(context.Context) {
+		client.CheckIdle(service.Now())
+		server.CheckIdle(service.Now())
+	})
+}
+
 type corePorts struct {
 	fx.In
 
--- a/adapter/assembler/node.go
+++ b/adapter/assembler/node.go
@@ -36,11 +36,12 @@
 	// Client sends messages to the other entry VMs.
 	Client *messenger.Client
 
-	adapters  nodeAdapters
-	cancel    context.CancelFunc
-	wg        sync.WaitGroup
-	servers   []*http.Server
-	closeOnce sync.Once
+	adapters       nodeAdapters
+	cancel         context.CancelFunc
+	stopPeerChecks func()
+	wg             sync.WaitGroup
+	servers        []*http.Server
+	closeOnce      sync.Once
 }
 
 // nodeAdapters are the adapters that the node starts or closes.
@@ -79,6 +80,7 @@
 	for _, run := range []func(context.Context){n.adapters.Pool.Run, n.adapters.Timer.Run, n.Core.Run} {
 		n.wg.Go(func() { run(ctx) })
 	}
+	n.stopPeerChecks = checkPeers(n.adapters.Timer, n.Client, n.adapters.PeerServer)
 	n.serve(n.Listeners.Callers, withHealthChecks(n.Admin, n.adapters.Responder.Handler()))
 	n.serve(peers, n.adapters.PeerServer)
 	n.serve(n.Listeners.Admin, n.Admin.Handler())
@@ -101,6 +103,7 @@
 }
 
 func (n *Node) close() {
+	n.stopPeerChecks()
 	n.adapters.PeerServer.Close()
 	for _, server := range n.servers {
 		ctx, cancel := context.WithTimeout(context.Background(), serverCloseTimeout)
--- a/adapter/assembler/relay.go
+++ b/adapter/assembler/relay.go
@@ -137,12 +137,13 @@
 	// Exposer serves the metrics and state dumps.
 	Exposer *exposer.Exposer
 
-	adapters relayAdapters
-	callers  *platform.Callers
-	peers    *messenger.Server
-	cancel   context.CancelFunc
-	wg       sync.WaitGroup
-	servers  []*http.Server
+	adapters       relayAdapters
+	callers        *platform.Callers
+	peers          *messenger.Server
+	cancel         context.CancelFunc
+	stopPeerChecks func()
+	wg             sync.WaitGroup
+	servers        []*http.Server
 }
 
 // relayAdapters are the adapters that the node starts or closes.
@@ -186,6 +187,7 @@
 	for _, run := range []func(context.Context){n.adapters.Pool.Run, n.adapters.Timer.Run, n.Core.Run} {
 		n.wg.Go(func() { run(ctx) })
 	}
+	n.stopPeerChecks = checkPeers(n.adapters.Timer, n.adapters.Client, n.peers)
 	listen := n.Settings.Listen
 	for _, port := range []struct {
 		address netip.AddrPort
@@ -250,6 +252,7 @@
 	}
 	closeServers(ctx, n.servers, start.Add(drainTime))
 	n.adapters.Logger.Info("stopped", "requests", n.callers.Busy())
+	n.stopPeerChecks()
 	n.peers.Close()
 	n.adapters.Client.Close()
 	n.cancel()
--- a/adapter/messenger/client.go
+++ b/adapter/messenger/client.go
@@ -16,6 +16,7 @@
 	"github.com/rotisserie/eris"
 
 	"github.com/dragonflypass/dragonflypass"
+	"github.com/dragonflypass/dragonflypass/adapter/dialer"
 )
 
 const (
@@ -23,6 +24,8 @@
 	peerPath = "/peer"
 	// dialTimeout limits how long connecting to another entry VM may take.
 	dialTimeout = time.Second
+	// userTimeout is the TCP user timeout: a connection is closed if sent data stays unacknowledged for this long.
+	userTimeout = time.Second
 	// firstResponseTimeout limits the wait for an owner's first response to a permit request: the outcome or the
 	// notice that the request is queued. A message between zones takes milliseconds; a busy VM needs tens of milliseconds to
 	// respond.
@@ -46,6 +49,10 @@
 	mutex  sync.Mutex
 	conns  map[netip.AddrPort]*clientConn
 	closed bool
+
+	// handshakes sends the requests that open connections.
+	initHandshakes sync.Once
+	handshakes     *http.Client
 }
 
 var _ dragonflypass.PeerClient = (*Client)(nil)
@@ -84,6 +91,15 @@
 	}
 }
 
+// CheckIdle closes the idle connections that have gone silent. It does not wait for the answers to its pings.
+func (c *Client) CheckIdle(now time.Time) {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	for _, cc := range c.conns {
+		cc.link.checkSilence(now.Add(-idleLimit))
+	}
+}
+
 // conn returns the open connection to the VM; if there is none, it dials a new one.
 func (c *Client) conn(ctx context.Context, to dragonflypass.VM) (*clientConn, error) {
 	c.mutex.Lock()
@@ -114,12 +130,22 @@
 	go cc.link.write()
 	go func() {
 		cc.receive()
+		c.remove(to.Peer, cc)
 		c.connectionLost(to.Peer)
 	}()
 	return cc, nil
 }
 
-// connectionLost calls Lost, unless Close has ended all connections.
+// remove removes a connection that has ended, unless another one has replaced it.
+func (c *Client) remove(address netip.AddrPort, cc *clientConn) {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	if c.conns[address] == cc {
+		delete(c.conns, address)
+	}
+}
+
+// connectionLost calls ConnectionLost, unless Close has ended all connections.
 func (c *Client) connectionLost(address netip.AddrPort) {
 	c.mutex.Lock()
 	closed := c.closed
@@ -133,15 +159,17 @@
 	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
 	defer cancel()
 	scheme := "ws"
-	client := http.DefaultClient
 	if c.TLS != nil {
 		scheme = "wss"
-		client = &http.Client{Transport: &http.Transport{TLSClientConfig: c.TLS}}
 	}
+	c.initHandshakes.Do(func() {
+		tcp := dialer.New(dialTimeout, userTimeout)
+		c.handshakes = &http.Client{Transport: &http.Transport{DialContext: tcp.DialContext, TLSClientConfig: c.TLS}}
+	})
 	header := http.Header{}
 	header.Set("Authorization", bearer(c.Credential))
 	socket, _, err := websocket.Dial(ctx, scheme+"://"+address.String()+peerPath, &websocket.DialOptions{
-		HTTPClient: client, HTTPHeader: header, CompressionMode: websocket.CompressionDisabled,
+		HTTPClient: c.handshakes, HTTPHeader: header, CompressionMode: websocket.CompressionDisabled,
 	})
 	return socket, err
 }
@@ -207,11 +235,12 @@
 
 // roundTrip sends a request and waits for its response.
 func (cc *clientConn) roundTrip(ctx context.Context, kind string, value any) (response, error) {
+	sentAt := time.Now()
 	id, responses, err := cc.send(kind, value)
 	if err != nil {
 		return response{}, err
 	}
-	return cc.wait(ctx, id, responses)
+	return cc.wait(ctx, id, responses, sentAt)
 }
 
 // send sends a request. Its response arrives on the channel, which is closed if the connection ends first.
@@ -234,8 +263,9 @@
 	return id, responses, nil
 }
 
-// wait returns the next response to a request, or an error if the connection or ctx ends first.
-func (cc *clientConn) wait(ctx context.Context, id uint64, responses chan response) (response, error) {
+// wait returns the next response to a request, or an error if the connection or ctx ends first. If it is overdue, the connection
+// may have gone silent.
+func (cc *clientConn) wait(ctx context.Context, id uint64, responses chan response, sentAt time.Time) (response, error) {
 	select {
 	case resp, ok := <-responses:
 		if !ok {
@@ -244,22 +274,27 @@
 		return resp, nil
 	case <-ctx.Done():
 		cc.removePending(id)
-		return response{}, context.Cause(ctx)
+		cause := context.Cause(ctx)
+		if errors.Is(cause, context.DeadlineExceeded) {
+			cc.link.checkSilence(sentAt)
+		}
+		return response{}, cause
 	}
 }
 
 // acquire requests a permit. The owner must respond within firstResponseTimeout; the outcome of a queued request
 // may follow later.
 func (cc *clientConn) acquire(ctx context.Context, request dragonflypass.PermitRequest) (response, error) {
-	id, responses, err := cc.send(kindAcquire, toPermitRequest(request, time.Now()))
+	sentAt := time.Now()
+	id, responses, err := cc.send(kindAcquire, toPermitRequest(request, sentAt))
 	if err != nil {
 		return response{}, err
 	}
 	firstResponseCtx, cancel := context.WithTimeout(ctx, firstResponseTimeout)
 	defer cancel()
-	resp, err := cc.wait(firstResponseCtx, id, responses)
+	resp, err := cc.wait(firstResponseCtx, id, responses, sentAt)
 	if err == nil && resp.queued {
-		resp, err = cc.wait(ctx, id, responses)
+		resp, err = cc.wait(ctx, id, responses, sentAt)
 	}
 	if firstResponseCtx.Err() != nil && err != nil {
 		_ = cc.link.send(envelope{ID: id, Kind: kindWithdraw})
--- a/adapter/messenger/link.go
+++ b/adapter/messenger/link.go
@@ -4,6 +4,7 @@
 	"context"
 	"net/netip"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/coder/websocket"
@@ -20,6 +21,13 @@
 	writeTimeout = 5 * time.Second
 	// outboundLimit is the maximum number of messages that wait to be written on one connection.
 	outboundLimit = 1024
+	// pingTimeout is the time within which a peer must answer a ping. A connection may go silent without a reset, while new ones
+	// work.
+	pingTimeout = 500 * time.Millisecond
+	// CheckInterval is the time between two checks for silent connections, and idleLimit the time without a message after which
+	// such a check pings the peer. Connections that are in use are checked as soon as a response is overdue.
+	CheckInterval = 30 * time.Second
+	idleLimit     = 30 * time.Second
 )
 
 // ErrClosed means that the connection to a peer has ended or that the peer sent a malformed message.
@@ -32,11 +40,17 @@
 	outbound  chan []byte
 	done      chan struct{}
 	closeOnce sync.Once
+	// receivedAt is the time of the last message, in nanoseconds since 1970.
+	receivedAt atomic.Int64
+	// pinging is set while a ping is unanswered.
+	pinging atomic.Bool
 }
 
 func newLink(socket *websocket.Conn, meter dragonflypass.Meter) *link {
 	socket.SetReadLimit(messageBytesLimit)
-	return &link{socket: socket, meter: meter, outbound: make(chan []byte, outboundLimit), done: make(chan struct{})}
+	l := &link{socket: socket, meter: meter, outbound: make(chan []byte, outboundLimit), done: make(chan struct{})}
+	l.recordReceived()
+	return l
 }
 
 // close ends the connection; it may be called more than once.
@@ -90,6 +104,7 @@
 	if err != nil {
 		return e, eris.Wrap(ErrClosed, err.Error())
 	}
+	l.recordReceived()
 	l.meter.Add(dragonflypass.CountPeerBytes, int64(len(data)))
 	if err := cbor.Unmarshal(data, &e); err != nil {
 		return e, eris.Wrap(ErrClosed, err.Error())
@@ -97,6 +112,30 @@
 	return e, nil
 }
 
+func (l *link) recordReceived() { l.receivedAt.Store(time.Now().UnixNano()) }
+
+// checkSilence pings the peer if no message has arrived since the given time, and closes the connection if there is no answer. It
+// does not wait. The peer answers pings as it reads, so a slow one keeps its connections.
+func (l *link) checkSilence(since time.Time) {
+	if l.receivedAt.Load() > since.UnixNano() || l.pinging.Swap(true) {
+		return
+	}
+	go func() {
+		defer l.pinging.Store(false)
+		ctx, cancel := context.WithTimeout(context.Background(), pingTimeout)
+		defer cancel()
+		if l.socket.Ping(ctx) == nil {
+			return
+		}
+		select {
+		case <-l.done:
+		default:
+			l.meter.Add(dragonflypass.CountPeerSilent, 1)
+			l.close()
+		}
+	}()
+}
+
 func parseAddress(text string) (netip.AddrPort, error) {
 	address, err := netip.ParseAddrPort(text)
 	if err != nil {
--- a/adapter/messenger/messenger_test.go
+++ b/adapter/messenger/messenger_test.go
@@ -87,6 +87,13 @@
 
 // connectPool starts a server for the peer and returns a client, the server's VM and the server's pool.
 func connectPool(t *testing.T, peer dragonflypass.PeerHandler, tlsConfig *tls.Config) (*messenger.Client, dragonflypass.VM, *worker.Pool) {
+	t.Helper()
+	client, server, vm := connectServer(t, peer, tlsConfig)
+	return client, vm, server.Pool.(*worker.Pool)
+}
+
+// connectServer starts a server for the peer and returns a client, the server and its VM.
+func connectServer(t *testing.T, peer dragonflypass.PeerHandler, tlsConfig *tls.Config) (*messenger.Client, *messenger.Server, dragonflypass.VM) {
 	t.Helper()
 	meter := fake.NewMeter()
 	pool := &worker.Pool{Workers: 4, QueueLimit: 1000, Meter: meter}
@@ -109,7 +116,7 @@
 		listener.Close()
 		cancel()
 	})
-	return client, dragonflypass.VM{ID: "vm-2", Peer: netip.MustParseAddrPort(listener.Listener.Addr().String())}, pool
+	return client, server, dragonflypass.VM{ID: "vm-2", Peer: netip.MustParseAddrPort(listener.Listener.Addr().String())}
 }
 
 func request() dragonflypass.PermitRequest {
--- a/adapter/messenger/server.go
+++ b/adapter/messenger/server.go
@@ -70,6 +70,16 @@
 	delete(s.links, l)
 }
 
+// CheckIdle closes the idle connections that have gone silent, whose clients use new ones. It does not wait for the answers to its
+// pings.
+func (s *Server) CheckIdle(now time.Time) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	for l := range s.links {
+		l.checkSilence(now.Add(-idleLimit))
+	}
+}
+
 // Close ends all connections and refuses new ones.
 func (s *Server) Close() {
 	s.mutex.Lock()
--- a/metrics.go
+++ b/metrics.go
@@ -27,6 +27,7 @@
 	CountHeartbeatSent     Counter = "heartbeats_sent"
 	CountHeartbeatFailed   Counter = "heartbeats_failed"
 	CountPeerBytes         Counter = "peer_bytes"
+	CountPeerSilent        Counter = "peer_connections_silent"
 	CountConfigApplied     Counter = "config_changes_applied"
 	CountConfigRejected    Counter = "config_changes_rejected"
 	CountConfigFromPeer    Counter = "config_pages_from_peer"
--- a/standin/interrupter/interrupter.go
+++ b/standin/interrupter/interrupter.go
@@ -5,6 +5,7 @@
 	"net"
 	"net/netip"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -42,6 +43,15 @@
 	mutex sync.Mutex
 	fault Fault
 	conns map[net.Conn]bool
+	links map[*link]bool
+	// accepted is the number of connections of clients so far.
+	accepted int
+}
+
+// link is the connection of a client and that to the target to which it is forwarded.
+type link struct {
+	// silent is set once the bytes of both sides are dropped.
+	silent atomic.Bool
 }
 
 // Start listens on a free loopback port and returns its address.
@@ -50,7 +60,7 @@
 	if err != nil {
 		return netip.AddrPort{}, eris.Wrap(err, "interrupter: listen on a free port")
 	}
-	i.listener, i.conns = listener, make(map[net.Conn]bool)
+	i.listener, i.conns, i.links = listener, make(map[net.Conn]bool), make(map[*link]bool)
 	i.wg.Go(func() {
 		for {
 			client, err := listener.Accept()
@@ -83,6 +93,38 @@
 	}
 }
 
+// Silence drops all further bytes of the connections that are open now, which stay open. New connections work.
+func (i *Interrupter) Silence() {
+	i.mutex.Lock()
+	defer i.mutex.Unlock()
+	for l := range i.links {
+		l.silent.Store(true)
+	}
+}
+
+// Accepted returns the number of connections that clients have made so far.
+func (i *Interrupter) Accepted() int {
+	i.mutex.Lock()
+	defer i.mutex.Unlock()
+	return i.accepted
+}
+
+// addLink registers the link of a new client.
+func (i *Interrupter) addLink() *link {
+	i.mutex.Lock()
+	defer i.mutex.Unlock()
+	l := &link{}
+	i.links[l] = true
+	i.accepted++
+	return l
+}
+
+func (i *Interrupter) removeLink(l *link) {
+	i.mutex.Lock()
+	defer i.mutex.Unlock()
+	delete(i.links, l)
+}
+
 func (i *Interrupter) currentFault() Fault {
 	i.mutex.Lock()
 	defer i.mutex.Unlock()
@@ -131,9 +173,11 @@
 		return
 	}
 	defer i.remove(target)
+	l := i.addLink()
+	defer i.removeLink(l)
 	done := make(chan struct{}, 2)
 	forward := func(to, from net.Conn, lost Fault) {
-		i.forward(to, from, lost)
+		i.forward(l, to, from, lost)
 		done <- struct{}{}
 	}
 	i.wg.Go(func() { forward(target, client, RequestsLost) })
@@ -141,18 +185,19 @@
 	<-done
 }
 
-// forward copies the bytes of one direction until it ends. It drops them while the fault is lost.
-func (i *Interrupter) forward(to io.Writer, from io.Reader, lost Fault) {
+// forward copies the bytes of one direction until it ends. It drops them while the fault is lost or the link is silent.
+func (i *Interrupter) forward(l *link, to io.Writer, from io.Reader, lost Fault) {
 	buffer := make([]byte, forwardBufferBytes)
 	for {
 		n, err := from.Read(buffer)
-		switch i.currentFault() {
-		case lost:
+		fault := i.currentFault()
+		if l.silent.Load() || fault == lost {
 			if err != nil {
 				return
 			}
 			continue
-		case Delayed:
+		}
+		if fault == Delayed {
 			time.Sleep(i.Delay)
 		}
 		if _, writeErr := to.Write(buffer[:n]); writeErr != nil || err != nil {
