Do not take a part of the changes of a topic for all of them

A caller's key that had been taken away was accepted again, 6.8 s and more after the acknowledgement (5 s are allowed), by a VM that the store had turned away for 9 s while the configuration changed in quick succession.

Cause: a read of the log returns at most max_kb and names the end of the log in its first eight bytes, which were ignored. The oldest 14 of 25 configurations counted as the current state as of the start of the read, so that Router accepted the keys of a table that was 11 versions old. For the same reason it refused routes that were there with 404, and a server that had been drained received requests.

A read asks for 512 KB at most, which a machine with a link of 20 Mbit/s receives within the time limit of a read. serve reads its log page by page to the end and has no such freshness (read in the code).

--- a/core/follower/follower.go
+++ b/core/follower/follower.go
@@ -189,13 +189,14 @@
 	return rand.N(limit)
 }
 
-// fetch returns the changes since the offset, or the complete topic if the store no longer has all of them.
+// fetch returns the changes since the offset, or the complete topic if the store no longer retains all of them or they do not fit
+// into one response: the topic is smaller then.
 func (f *Follower) fetch(ctx context.Context, from dragonflypass.Offset, wait time.Duration) (page dragonflypass.UpdatePage, fullSnapshot bool, err error) {
 	if f.Watermark().Loaded {
 		changesCtx, cancel := f.Timer.WithDeadline(ctx, f.Timer.Now().Add(wait+storeCallMargin))
 		defer cancel()
 		page, err = f.Store.Changes(changesCtx, f.Topic, from, wait)
-		if !errors.Is(err, dragonflypass.ErrTrimmed) {
+		if !errors.Is(err, dragonflypass.ErrTrimmed) && !errors.Is(err, dragonflypass.ErrTruncated) {
 			return page, false, err
 		}
 	}
--- a/errors.go
+++ b/errors.go
@@ -83,6 +83,8 @@
 	ErrUncertain = errors.New("outcome uncertain")
 	// ErrTrimmed means that the log no longer retains the requested offset.
 	ErrTrimmed = errors.New("offset no longer retained")
+	// ErrTruncated means that the store returned only a part of the requested records.
+	ErrTruncated = errors.New("response truncated")
 	// ErrRefused means that the remote side reported that it did not execute the call.
 	ErrRefused = errors.New("refused before execution")
 	// ErrFenced means that the remote side has seen a newer fencing number.
--- a/internal/fake/store.go
+++ b/internal/fake/store.go
@@ -18,7 +18,9 @@
 type Store struct {
 	mutex sync.Mutex
 	// topics maps each topic to the latest record of each key; a removed key has a record with empty Raw.
-	topics     map[dragonflypass.Topic]map[string]dragonflypass.Update
+	topics map[dragonflypass.Topic]map[string]dragonflypass.Update
+	// history holds all records of each topic, by offset.
+	history    map[dragonflypass.Topic][]dragonflypass.Update
 	endOffsets map[dragonflypass.Topic]dragonflypass.Offset
 	// trimOffsets maps each topic to the first offset whose changes are retained.
 	trimOffsets map[dragonflypass.Topic]dragonflypass.Offset
@@ -27,12 +29,15 @@
 	changed      chan struct{}
 	calls        int
 	down         bool
+	// pageLimit is the largest number of records that Changes returns, zero for no limit.
+	pageLimit int
 }
 
 // NewStore returns an empty store.
 func NewStore() *Store {
 	return &Store{
 		topics:       make(map[dragonflypass.Topic]map[string]dragonflypass.Update),
+		history:      make(map[dragonflypass.Topic][]dragonflypass.Update),
 		endOffsets:   make(map[dragonflypass.Topic]dragonflypass.Offset),
 		trimOffsets:  make(map[dragonflypass.Topic]dragonflypass.Offset),
 		recordsByRaw: make(map[string]dragonflypass.Update),
@@ -47,6 +52,13 @@
 	s.down = down
 }
 
+// SetPageLimit sets the largest number of records that Changes returns.
+func (s *Store) SetPageLimit(records int) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.pageLimit = records
+}
+
 // Calls returns the number of calls so far, including failed ones.
 func (s *Store) Calls() int {
 	s.mutex.Lock()
@@ -68,6 +80,7 @@
 		s.recordsByRaw[string(update.Raw)] = update
 	}
 	s.topics[topic][update.Key] = update
+	s.history[topic] = append(s.history[topic], update)
 	close(s.changed)
 	s.changed = make(chan struct{})
 }
@@ -100,15 +113,26 @@
 
 // readPage returns the records starting at the offset, and a channel that is closed when the next record is written.
 func (s *Store) readPage(topic dragonflypass.Topic, from dragonflypass.Offset) (dragonflypass.UpdatePage, <-chan struct{}) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	page := dragonflypass.UpdatePage{EndOffset: s.endOffsets[topic]}
+	if from < page.EndOffset {
+		page.Updates = slices.Clone(s.history[topic][from:])
+	}
+	return page, s.changed
+}
+
+// latest returns the latest record of each key, without removed keys.
+func (s *Store) latest(topic dragonflypass.Topic) dragonflypass.UpdatePage {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
 	page := dragonflypass.UpdatePage{EndOffset: s.endOffsets[topic]}
 	for _, key := range slices.Sorted(maps.Keys(s.topics[topic])) {
-		if update := s.topics[topic][key]; update.Offset >= from {
+		if update := s.topics[topic][key]; len(update.Raw) > 0 {
 			page.Updates = append(page.Updates, update)
 		}
 	}
-	return page, s.changed
+	return page
 }
 
 // Latest returns the latest record of each key of the topic, without removed keys.
@@ -116,19 +140,19 @@
 	if err := s.beginCall(ctx); err != nil {
 		return dragonflypass.UpdatePage{}, err
 	}
-	page, _ := s.readPage(topic, 0)
-	page.Updates = slices.DeleteFunc(page.Updates, func(u dragonflypass.Update) bool { return len(u.Raw) == 0 })
-	return page, nil
+	return s.latest(topic), nil
 }
 
 // Changes returns the records of the topic starting at the offset. If there are none, it waits up to maxWait for the first one.
-// It returns ErrTrimmed if the offset is no longer retained, ErrUnavailable, or ErrUncertain if ctx ends.
+// It returns ErrTrimmed if the offset is no longer retained, ErrTruncated if there are more records than the page limit,
+// ErrUnavailable, or ErrUncertain if ctx ends.
 func (s *Store) Changes(ctx context.Context, topic dragonflypass.Topic, from dragonflypass.Offset, maxWait time.Duration) (dragonflypass.UpdatePage, error) {
 	if err := s.beginCall(ctx); err != nil {
 		return dragonflypass.UpdatePage{}, err
 	}
 	s.mutex.Lock()
 	trimmed := from < s.trimOffsets[topic]
+	limit := s.pageLimit
 	s.mutex.Unlock()
 	if trimmed {
 		return dragonflypass.UpdatePage{}, dragonflypass.ErrTrimmed
@@ -137,6 +161,9 @@
 	defer timeout.Stop()
 	for {
 		page, changed := s.readPage(topic, from)
+		if limit > 0 && len(page.Updates) > limit {
+			return dragonflypass.UpdatePage{}, dragonflypass.ErrTruncated
+		}
 		if len(page.Updates) > 0 {
 			return page, nil
 		}
--- a/ports.go
+++ b/ports.go
@@ -67,8 +67,8 @@
 type Store interface {
 	// Latest returns the latest record of each key of the topic.
 	Latest(ctx context.Context, topic Topic) (UpdatePage, error)
-	// Changes returns the records of the topic starting at the offset; it waits for the first one up to the given duration.
-	// It returns ErrTrimmed if the offset is no longer retained.
+	// Changes returns all records of the topic starting at the offset; it waits for the first one up to the given duration.
+	// It returns ErrTrimmed if the offset is no longer retained, and ErrTruncated if there are too many records for one response.
 	Changes(ctx context.Context, topic Topic, from Offset, wait time.Duration) (UpdatePage, error)
 	// RegisterMember writes an entry VM to the members topic.
 	RegisterMember(ctx context.Context, vm VM) error
