Limit the answers of engines and plain services that serve calls

Cause: heads up to 10 MB each (the default of net/http), reports of any size, lines of streams up to 1 MB, answers of services up to 16 MB, and no limit for all of them together. The platform's list of VMs is limited to 8 MB.

--- a/adapter/bounder/bounder.go
+++ b/adapter/bounder/bounder.go
@@ -9,7 +9,7 @@
 
 // stepBytes is the size in bytes of the steps in which memory is taken from a budget. The first step of each body is free, so that
 // short bodies can be read while long ones use all of it.
-const stepBytes = 16 << 10
+const stepBytes = 8 << 10
 
 // The reasons why a body is not read to its end.
 var (
@@ -17,7 +17,7 @@
 	ErrBudgetSpent = eris.New("bounder: the memory for bodies is in use")
 )
 
-// Budget is the memory that the bodies being read may take together, besides their first 16 KB each.
+// Budget is the memory that the bodies being read may take together, besides their first 8 KB each.
 type Budget struct {
 	memory *semaphore.Weighted
 }
--- a/adapter/bounder/bounder_test.go
+++ b/adapter/bounder/bounder_test.go
@@ -13,7 +13,7 @@
 // TestBodiesTakeLimitedMemory reads a body while another one, which has not ended, uses the whole budget.
 func TestBodiesTakeLimitedMemory(t *testing.T) {
 	c := qt.New(t)
-	const free, budgetBytes, limit = 16 << 10, 64 << 10, 1 << 20
+	const free, budgetBytes, limit = 8 << 10, 64 << 10, 1 << 20
 	budget := bounder.NewBudget(budgetBytes)
 	read := func(size int) error {
 		data, err := budget.ReadAll(strings.NewReader(strings.Repeat("x", size)), limit)
--- a/adapter/dialer/dialer.go
+++ b/adapter/dialer/dialer.go
@@ -10,8 +10,12 @@
 	"golang.org/x/sys/unix"
 )
 
-// idleConnTimeout is the time after which an idle connection is closed.
-const idleConnTimeout = time.Minute
+const (
+	// idleConnTimeout is the time after which an idle connection is closed.
+	idleConnTimeout = time.Minute
+	// MaxHeadBytes is the maximum size of the head of a response in bytes. The fields of a head take several times its size.
+	MaxHeadBytes = 16 << 10
+)
 
 // New returns a dialer of TCP connections. A connection must be established within connectTimeout, and it ends when
 // sent data stays unacknowledged for userTimeout.
@@ -34,7 +38,9 @@
 // NewTransport returns an HTTP transport whose connections must be established within connectTimeout.
 func NewTransport(connectTimeout time.Duration) *http.Transport {
 	dialer := &net.Dialer{Timeout: connectTimeout}
-	return &http.Transport{DialContext: dialer.DialContext, IdleConnTimeout: idleConnTimeout, DisableCompression: true}
+	return &http.Transport{
+		DialContext: dialer.DialContext, IdleConnTimeout: idleConnTimeout, MaxResponseHeaderBytes: MaxHeadBytes, DisableCompression: true,
+	}
 }
 
 // ConnectFailed reports whether a call failed because no connection could be established; nothing was sent.
--- a/adapter/invoker/invoker.go
+++ b/adapter/invoker/invoker.go
@@ -3,28 +3,31 @@
 import (
 	"bytes"
 	"context"
-	"io"
 	"net/http"
 	"time"
 
 	"github.com/rotisserie/eris"
 
 	"github.com/dragonflypass/dragonflypass"
+	"github.com/dragonflypass/dragonflypass/adapter/bounder"
 	"github.com/dragonflypass/dragonflypass/adapter/dialer"
 )
 
 const (
 	// dialTimeout limits how long connecting to an endpoint may take.
 	dialTimeout = 2 * time.Second
-	// responseBytesLimit is the maximum size of a response body in bytes.
-	responseBytesLimit = 16 << 20
+	// maxResponseBytes is the maximum size of a response body in bytes, and responseBudgetBytes the memory for all that are being
+	// read.
+	maxResponseBytes    = 4 << 20
+	responseBudgetBytes = 4 << 20
 	// executedHeader is the response header that states whether a service executed a call before refusing it.
 	executedHeader = "X-Ran"
 )
 
 // Invoker calls plain services over HTTP.
 type Invoker struct {
-	client *http.Client
+	client    *http.Client
+	responses *bounder.Budget
 }
 
 var _ dragonflypass.ServiceClient = (*Invoker)(nil)
@@ -35,7 +38,7 @@
 	// Each call uses a new connection, so no call fails because an idle connection was closed. If a call fails on an
 	// established connection, it has therefore been sent.
 	transport.DisableKeepAlives = true
-	return &Invoker{client: &http.Client{
+	return &Invoker{responses: bounder.NewBudget(responseBudgetBytes), client: &http.Client{
 		Transport: transport,
 		CheckRedirect: func(*http.Request, []*http.Request) error {
 			return http.ErrUseLastResponse
@@ -67,7 +70,7 @@
 		return dragonflypass.ServiceResponse{}, sendError(err)
 	}
 	defer func() { _ = response.Body.Close() }()
-	return readResponse(response)
+	return i.readResponse(response)
 }
 
 // sendError returns ErrUnavailable if no connection could be established, and ErrUncertain if the call may have been
@@ -79,16 +82,13 @@
 	return eris.Wrap(dragonflypass.ErrUncertain, err.Error())
 }
 
-func readResponse(response *http.Response) (dragonflypass.ServiceResponse, error) {
+func (i *Invoker) readResponse(response *http.Response) (dragonflypass.ServiceResponse, error) {
 	if response.StatusCode == http.StatusServiceUnavailable && response.Header.Get(executedHeader) == string(dragonflypass.ExecutedNo) {
 		return dragonflypass.ServiceResponse{}, eris.Wrap(dragonflypass.ErrRefused, response.Status)
 	}
-	body, err := io.ReadAll(io.LimitReader(response.Body, responseBytesLimit+1))
+	body, err := i.responses.ReadAll(response.Body, maxResponseBytes)
 	if err != nil {
 		return dragonflypass.ServiceResponse{}, eris.Wrap(dragonflypass.ErrUncertain, err.Error())
 	}
-	if len(body) > responseBytesLimit {
-		return dragonflypass.ServiceResponse{}, eris.Wrap(dragonflypass.ErrUncertain, "the response is too large")
-	}
 	return dragonflypass.ServiceResponse{Status: response.StatusCode, ContentType: response.Header.Get("Content-Type"), Body: body}, nil
 }
--- a/adapter/lister/lister.go
+++ b/adapter/lister/lister.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"io"
 	"net/http"
 	"net/netip"
 	"time"
@@ -14,8 +15,12 @@
 	"github.com/dragonflypass/dragonflypass/adapter/dialer"
 )
 
-// dialTimeout limits how long connecting to the platform may take.
-const dialTimeout = time.Second
+const (
+	// dialTimeout limits how long connecting to the platform may take.
+	dialTimeout = time.Second
+	// maxListBytes is the maximum size of the list in bytes.
+	maxListBytes = 8 << 20
+)
 
 // List is the JSON form of the platform's list of VMs.
 type List struct {
@@ -63,7 +68,7 @@
 		return nil, eris.Wrap(dragonflypass.ErrUnavailable, response.Status)
 	}
 	var list List
-	if err := json.NewDecoder(response.Body).Decode(&list); err != nil {
+	if err := json.NewDecoder(io.LimitReader(response.Body, maxListBytes)).Decode(&list); err != nil {
 		return nil, eris.Wrap(dragonflypass.ErrUnavailable, err.Error())
 	}
 	vms := make([]dragonflypass.PlatformVM, 0, len(list.VMs))
--- a/adapter/streamer/streamer.go
+++ b/adapter/streamer/streamer.go
@@ -15,6 +15,7 @@
 	"github.com/rotisserie/eris"
 
 	"github.com/dragonflypass/dragonflypass"
+	"github.com/dragonflypass/dragonflypass/adapter/bounder"
 	"github.com/dragonflypass/dragonflypass/adapter/dialer"
 )
 
@@ -23,13 +24,17 @@
 	dialTimeout = 2 * time.Second
 	// idleConnLimit is the maximum number of idle connections kept open to each server.
 	idleConnLimit = 64
-	// lineBytesLimit is the maximum length of a line of a stream in bytes.
-	lineBytesLimit = 1 << 20
+	// lineBytesLimit is the maximum length of a line of a stream in bytes; a frame holds one token.
+	lineBytesLimit = 64 << 10
+	// maxReportBytes is the maximum size of a server's report in bytes, and reportBudgetBytes the memory for all that are being read.
+	maxReportBytes    = 256 << 10
+	reportBudgetBytes = 1 << 20
 )
 
 // Streamer calls model engines over HTTP.
 type Streamer struct {
-	client *http.Client
+	client  *http.Client
+	reports *bounder.Budget
 }
 
 var _ dragonflypass.Engine = (*Streamer)(nil)
@@ -38,7 +43,7 @@
 func New() *Streamer {
 	transport := dialer.NewTransport(dialTimeout)
 	transport.MaxIdleConnsPerHost = idleConnLimit
-	return &Streamer{client: &http.Client{Transport: transport}}
+	return &Streamer{client: &http.Client{Transport: transport}, reports: bounder.NewBudget(reportBudgetBytes)}
 }
 
 // Close closes the idle connections.
@@ -210,7 +215,11 @@
 		return dragonflypass.ServerReport{}, eris.Wrap(dragonflypass.ErrBroken, response.Status)
 	}
 	var wire Report
-	if err := json.NewDecoder(response.Body).Decode(&wire); err != nil {
+	data, err := s.reports.ReadAll(response.Body, maxReportBytes)
+	if err != nil {
+		return dragonflypass.ServerReport{}, eris.Wrap(dragonflypass.ErrBroken, err.Error())
+	}
+	if err := json.Unmarshal(data, &wire); err != nil {
 		return dragonflypass.ServerReport{}, eris.Wrap(dragonflypass.ErrBroken, err.Error())
 	}
 	return wire.report()
