Count servers of a relay that go down together as one crash of a request

Cause: RecordCrash counted the servers one by one, though a zone that fails is no evidence against what ran there. Parts of prompts were counted so already. Only a request that was sent after the last crash counts now. serve keeps its count: there an owner runs one copy of a request at a time until it has succeeded, and its bound of three servers would not hold (TestRequestCrashesServersAfterDelay, four servers in two of five runs of a trial).

TestLookupIsNotRefusedAfterServersGoDownTogether fails before.

--- a/core/composer/quarantine_test.go
+++ b/core/composer/quarantine_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"sync"
 	"testing"
 	"time"
 
@@ -97,6 +98,34 @@
 	})
 }
 
+// TestLookupIsNotRefusedAfterServersGoDownTogether guards against a sound lookup that is refused for an hour because three servers
+// that ran it went down at the same moment.
+func TestLookupIsNotRefusedAfterServersGoDownTogether(t *testing.T) {
+	withRelaySite(t, 3, 6, 1, func(c *qt.C, s *fake.RelaySite) {
+		const callers = 30
+		lookup := func(id string) *dragonflypass.Exchange {
+			e := fake.NewExchange(id, "/read/x", 0)
+			e.Fingerprint = fake.NewExchange("lookup", "/read/x", 0).Fingerprint
+			return e
+		}
+		var wg sync.WaitGroup
+		for i := range callers {
+			wg.Go(func() { s.Send(i%len(s.Nodes), lookup(fmt.Sprint("lookup-", i))) })
+		}
+		time.Sleep(5 * time.Millisecond)
+		for _, b := range s.PlainServers[:3] {
+			c.Assert(b.Running() > 0, qt.IsTrue)
+			b.SetFault(fake.BackendDown)
+		}
+		wg.Wait()
+		time.Sleep(time.Second)
+		for i := range s.Nodes {
+			got := s.Send(i, lookup(fmt.Sprint("later-", i)))
+			c.Check(got.Err, qt.IsNil, qt.Commentf("VM %d", i))
+		}
+	})
+}
+
 // TestRestartedVMsKnowQuarantinedCompletions guards against VMs that crash model servers again with a completion that was
 // quarantined before they restarted.
 func TestRestartedVMsKnowQuarantinedCompletions(t *testing.T) {
--- a/core/quarantiner/quarantiner.go
+++ b/core/quarantiner/quarantiner.go
@@ -52,6 +52,10 @@
 	Logger dragonflypass.Logger
 	// CrashLimit is the number of crashes at which a request is quarantined, by default 2.
 	CrashLimit int
+	// MergeSimultaneous is set if servers that go down together, as when a zone fails, count as one crash of the requests that they
+	// were running: only a request that was sent after the last crash is then further evidence. It is left out where few copies of
+	// a request run at the same time.
+	MergeSimultaneous bool
 	// SuccessLimit is the largest number of completed requests that are kept for RecentlySucceeded, by default 50,000.
 	SuccessLimit int
 
@@ -99,6 +103,7 @@
 	q.mutex.Lock()
 	record, known := q.crashes[key]
 	var causes []dragonflypass.Fingerprint
+	sentAt := make(map[dragonflypass.Fingerprint]time.Time, len(crash.Suspects))
 	if !known {
 		evictIfFull(q.crashes, maxCrashes, func(a, b *crashRecord) bool { return a.recordedAt.Before(b.recordedAt) })
 		record = &crashRecord{recordedAt: now, reported: make(map[dragonflypass.Fingerprint]bool)}
@@ -112,6 +117,7 @@
 			continue
 		}
 		record.reported[s.Fingerprint] = true
+		sentAt[s.Fingerprint] = s.SentAt
 		isNew = true
 		if known {
 			causes = append(causes, s.Fingerprint)
@@ -121,7 +127,7 @@
 	}
 	quarantined := 0
 	for _, fingerprint := range causes {
-		if q.countCrash(fingerprint, key, now) {
+		if q.countCrash(fingerprint, key, sentAt[fingerprint], crash.At, now) {
 			quarantined++
 		}
 	}
@@ -227,13 +233,19 @@
 	return fingerprints
 }
 
-// countCrash counts a crash for the fingerprint and reports whether this puts it in quarantine. It is called with the
-// mutex held.
-func (q *Quarantiner) countCrash(fingerprint dragonflypass.Fingerprint, crash dragonflypass.CrashID, now time.Time) bool {
+// countCrash counts a crash at the given time for the fingerprint and reports whether this puts it in quarantine. sentAt is the zero
+// time if it is not known. It is called with the mutex held.
+func (q *Quarantiner) countCrash(fingerprint dragonflypass.Fingerprint, crash dragonflypass.CrashID, sentAt, at, now time.Time) bool {
 	delete(q.successes, fingerprint)
 	s := q.suspectOf(fingerprint, now)
+	if q.MergeSimultaneous && !sentAt.IsZero() && !sentAt.After(s.lastCrash.Add(-sendOrderTolerance)) {
+		return false
+	}
+	if at.IsZero() || at.After(now) {
+		at = now
+	}
 	wasQuarantined := s.quarantined(q.CrashLimit)
-	s.add([]dragonflypass.CrashID{crash}, now, q.CrashLimit)
+	s.add([]dragonflypass.CrashID{crash}, at, q.CrashLimit)
 	return !wasQuarantined && s.quarantined(q.CrashLimit)
 }
 
--- a/core/quarantiner/requests.go
+++ b/core/quarantiner/requests.go
@@ -14,6 +14,9 @@
 	completionRetention = suspectDuration
 	// maxCompletions is the largest number of completed suspects that are remembered.
 	maxCompletions = 2048
+	// sendOrderTolerance is the error with which it is known whether a request was sent after a crash. A VM whose report is delayed
+	// for longer counts a crash less, and learns of the quarantine from the statuses of others.
+	sendOrderTolerance = 2 * time.Millisecond
 	// maxRequestStatuses is the largest number of statuses of requests in a heartbeat.
 	maxRequestStatuses = 64
 )
