--- a/core/composer/relay.go
+++ b/core/composer/relay.go
@@ -137,7 +137,7 @@
 		mutex: locker.Mutex{Order: locker.Configuration}, lastOwners: make(map[dragonflypass.Shard]dragonflypass.VMID),
 	}
 	n.Quarantiner.Timer, n.Quarantiner.Meter, n.Quarantiner.Logger = ports.Timer, ports.Meter, ports.Logger
-	n.Quarantiner.CrashLimit, n.Quarantiner.MergeSimultaneous = crashLimit, true
+	n.Quarantiner.CrashLimit = crashLimit
 	// Nothing here asks for completed requests.
 	n.Quarantiner.SuccessLimit = 0
 	n.Budgets.Ratio, n.Budgets.Burst = options.RetryRatio, options.RetryBurst
--- a/core/quarantiner/quarantiner.go
+++ b/core/quarantiner/quarantiner.go
@@ -52,10 +52,6 @@
 	Logger dragonflypass.Logger
 	// CrashLimit is the number of crashes at which a request is quarantined, by default 2.
 	CrashLimit int
-	// MergeSimultaneous is set if servers that go down together, as when a zone fails, count as one crash of the requests that they
-	// were running: only a request that was sent after the last crash is then further evidence. It is left out where few copies of
-	// a request run at the same time.
-	MergeSimultaneous bool
 	// SuccessLimit is the largest number of completed requests that are kept for RecentlySucceeded, by default 50,000.
 	SuccessLimit int
 
@@ -234,11 +230,13 @@
 }
 
 // countCrash counts a crash at the given time for the fingerprint and reports whether this puts it in quarantine. sentAt is the zero
-// time if it is not known. It is called with the mutex held.
+// time if it is not known. Many callers may send the same request to a plain service, so servers of one that go down together, as
+// when a zone fails, count as one crash: only a request that was sent after the last crash is further evidence. It is called
+// with the mutex held.
 func (q *Quarantiner) countCrash(fingerprint dragonflypass.Fingerprint, crash dragonflypass.CrashID, sentAt, at, now time.Time) bool {
 	delete(q.successes, fingerprint)
 	s := q.suspectOf(fingerprint, now)
-	if q.MergeSimultaneous && !sentAt.IsZero() && !sentAt.After(s.lastCrash.Add(-sendOrderTolerance)) {
+	if fingerprint.Model == "" && !sentAt.IsZero() && !sentAt.After(s.lastCrash.Add(-sendOrderTolerance)) {
 		return false
 	}
 	if at.IsZero() || at.After(now) {
