Do not try silent connections to engines one by one

On the path with an OpenAI interface, up to 64 idle connections to each engine that had gone silent cost one report or stream each. A report without a response now closes the other idle connections, and the connections of all transports have a TCP user timeout of 2 s.

--- a/adapter/dialer/dialer.go
+++ b/adapter/dialer/dialer.go
@@ -13,6 +13,8 @@
 const (
 	// idleConnTimeout is the time after which an idle connection is closed.
 	idleConnTimeout = time.Minute
+	// transportUserTimeout is the TCP user timeout of the connections of a transport.
+	transportUserTimeout = 2 * time.Second
 	// MaxHeadBytes is the maximum size of the head of a response in bytes. The fields of a head take several times its size.
 	MaxHeadBytes = 16 << 10
 )
@@ -37,7 +39,7 @@
 
 // NewTransport returns an HTTP transport whose connections must be established within connectTimeout.
 func NewTransport(connectTimeout time.Duration) *http.Transport {
-	dialer := &net.Dialer{Timeout: connectTimeout}
+	dialer := &net.Dialer{Timeout: connectTimeout, Control: UserTimeout(transportUserTimeout)}
 	return &http.Transport{
 		DialContext: dialer.DialContext, IdleConnTimeout: idleConnTimeout, MaxResponseHeaderBytes: MaxHeadBytes, DisableCompression: true,
 	}
--- a/adapter/streamer/streamer.go
+++ b/adapter/streamer/streamer.go
@@ -208,6 +208,8 @@
 	}
 	response, err := s.client.Do(request)
 	if err != nil {
+		// The other idle connections may have gone silent too, and each would cost a call.
+		s.client.CloseIdleConnections()
 		return dragonflypass.ServerReport{}, sendError(ctx, err)
 	}
 	defer func() { _ = response.Body.Close() }()
