--- a/adapter/bounder/bounder.go
+++ b/adapter/bounder/bounder.go
@@ -1,6 +1,8 @@
 package bounder
 
 import (
+	"bytes"
+	"errors"
 	"io"
 
 	"github.com/rotisserie/eris"
@@ -29,7 +31,35 @@
 func (b *Budget) ReadAll(body io.Reader, limit int64) ([]byte, error) {
 	r := &reader{body: body, budget: b, limit: limit}
 	defer func() { b.memory.Release(r.held) }()
-	return io.ReadAll(r)
+	first, err := io.ReadAll(io.LimitReader(r, stepBytes))
+	if err != nil || len(first) < stepBytes {
+		return first, err
+	}
+	// The pieces are joined only once the body has ended, so that one without an end takes no more than its budget.
+	pieces := [][]byte{first}
+	for err == nil {
+		var piece []byte
+		piece, err = readPiece(r)
+		pieces = append(pieces, piece)
+	}
+	if !errors.Is(err, io.EOF) {
+		return nil, err
+	}
+	return bytes.Join(pieces, nil), nil
+}
+
+// readPiece reads until a piece is full. The error is that of the reader, io.EOF at the end of the body.
+func readPiece(r io.Reader) ([]byte, error) {
+	piece := make([]byte, stepBytes)
+	length := 0
+	for length < len(piece) {
+		n, err := r.Read(piece[length:])
+		length += n
+		if err != nil {
+			return piece[:length], err
+		}
+	}
+	return piece, nil
 }
 
 // reader takes the memory for what it reads from a budget.
--- a/adapter/bounder/bounder_test.go
+++ b/adapter/bounder/bounder_test.go
@@ -4,6 +4,7 @@
 	"io"
 	"strings"
 	"testing"
+	"testing/iotest"
 
 	qt "github.com/frankban/quicktest"
 
@@ -40,6 +41,23 @@
 	c.Check(read(free+budgetBytes), qt.IsNil)
 }
 
+// TestBodiesAreReadWhole reads bodies of all sizes around those of a piece, in reads of several sizes, and one that is cut off.
+func TestBodiesAreReadWhole(t *testing.T) {
+	c := qt.New(t)
+	const step, limit = 8 << 10, 1 << 20
+	text := strings.Repeat("0123456789abcde", limit/15)
+	for _, size := range []int{0, 1, step - 1, step, step + 1, 2*step - 1, 2 * step, 2*step + 1, 5*step + 7} {
+		for _, wrap := range []func(io.Reader) io.Reader{func(r io.Reader) io.Reader { return r }, iotest.HalfReader, iotest.DataErrReader} {
+			got, err := bounder.NewBudget(limit).ReadAll(wrap(strings.NewReader(text[:size])), limit)
+			c.Assert(err, qt.IsNil)
+			c.Check(string(got) == text[:size], qt.IsTrue, qt.Commentf("%d bytes", size))
+		}
+		cut := io.MultiReader(strings.NewReader(text[:size]), iotest.ErrReader(io.ErrUnexpectedEOF))
+		_, err := bounder.NewBudget(limit).ReadAll(cut, limit)
+		c.Check(err, qt.ErrorIs, io.ErrUnexpectedEOF)
+	}
+}
+
 func TestLongBodyIsNotRead(t *testing.T) {
 	const limit = 100
 	budget := bounder.NewBudget(limit)
