Keep the statuses of requests apart from the table of suspects

Found when the change was read again: each heartbeat went through all suspects, up to 20,000, although few are ever sent. Those that are (one crash short of the quarantine or in it) and the disputed completions have tables of their own now. A VM that had ended a quarantine took it over again from an older status (TestClearedRequestIsNotQuarantinedByOldStatus). The silence of a connection is measured by the monotonic clock, and one hook of the detector returns both kinds of statuses.

--- a/adapter/messenger/link.go
+++ b/adapter/messenger/link.go
@@ -40,17 +40,16 @@
 	outbound  chan []byte
 	done      chan struct{}
 	closeOnce sync.Once
-	// receivedAt is the time of the last message, in nanoseconds since 1970.
-	receivedAt atomic.Int64
+	// madeAt is the time at which the connection was made, and received the time from then to the last message, in nanoseconds.
+	madeAt   time.Time
+	received atomic.Int64
 	// pinging is set while a ping is unanswered.
 	pinging atomic.Bool
 }
 
 func newLink(socket *websocket.Conn, meter dragonflypass.Meter) *link {
 	socket.SetReadLimit(messageBytesLimit)
-	l := &link{socket: socket, meter: meter, outbound: make(chan []byte, outboundLimit), done: make(chan struct{})}
-	l.recordReceived()
-	return l
+	return &link{socket: socket, meter: meter, outbound: make(chan []byte, outboundLimit), done: make(chan struct{}), madeAt: time.Now()}
 }
 
 // close ends the connection; it may be called more than once.
@@ -104,7 +103,7 @@
 	if err != nil {
 		return e, eris.Wrap(ErrClosed, err.Error())
 	}
-	l.recordReceived()
+	l.received.Store(int64(time.Since(l.madeAt)))
 	l.meter.Add(dragonflypass.CountPeerBytes, int64(len(data)))
 	if err := cbor.Unmarshal(data, &e); err != nil {
 		return e, eris.Wrap(ErrClosed, err.Error())
@@ -112,12 +111,10 @@
 	return e, nil
 }
 
-func (l *link) recordReceived() { l.receivedAt.Store(time.Now().UnixNano()) }
-
 // checkSilence pings the peer if no message has arrived since the given time, and closes the connection if there is no answer. It
 // does not wait. The peer answers pings as it reads, so a slow one keeps its connections.
 func (l *link) checkSilence(since time.Time) {
-	if l.receivedAt.Load() > since.UnixNano() || l.pinging.Swap(true) {
+	if time.Duration(l.received.Load()) > since.Sub(l.madeAt) || l.pinging.Swap(true) {
 		return
 	}
 	go func() {
--- a/core/composer/composer.go
+++ b/core/composer/composer.go
@@ -197,10 +197,9 @@
 	n.Detector.ConfigOffset = func() dragonflypass.Offset { return n.Configurer.Current().Offset }
 	n.Detector.Loads = n.Scheduler.Loads
 	n.Detector.OpenStreams = n.Dispatcher.OpenStreams
-	n.Detector.PartStatuses, n.Detector.RequestStatuses = n.Quarantiner.PartStatuses, n.Quarantiner.RequestStatuses
+	n.Detector.Statuses = n.Quarantiner.Statuses
 	n.Detector.Received = func(heartbeat dragonflypass.Heartbeat) {
-		n.Quarantiner.MergeParts(heartbeat.Parts)
-		n.Quarantiner.MergeRequests(heartbeat.Requests)
+		n.Quarantiner.Merge(heartbeat.Parts, heartbeat.Requests)
 		n.Scheduler.HandleHeartbeat(heartbeat)
 	}
 	n.Detector.Subscribe(n.Assigner.Assign)
--- a/core/composer/relay.go
+++ b/core/composer/relay.go
@@ -167,12 +167,11 @@
 		return n.Relayer.OpenStreams(owner)
 	}
 	d.Received = func(heartbeat dragonflypass.Heartbeat) {
-		n.Quarantiner.MergeParts(heartbeat.Parts)
-		n.Quarantiner.MergeRequests(heartbeat.Requests)
+		n.Quarantiner.Merge(heartbeat.Parts, heartbeat.Requests)
 		n.Sharder.RecordLoads(heartbeat.ShardLoads)
 		n.Allocator.HandleHeartbeat(heartbeat)
 	}
-	d.PartStatuses, d.RequestStatuses = n.Quarantiner.PartStatuses, n.Quarantiner.RequestStatuses
+	d.Statuses = n.Quarantiner.Statuses
 	d.ShardLoads = func() []dragonflypass.ShardLoad { return n.Allocator.ShardLoads(n.ownedShards()) }
 	d.Watermarks = func() []dragonflypass.Watermark {
 		return []dragonflypass.Watermark{n.Routing.Watermark(), n.Registry.Watermark()}
--- a/core/detector/detector.go
+++ b/core/detector/detector.go
@@ -72,10 +72,8 @@
 	OpenStreams func(owner dragonflypass.VMID) (granted []uint64, inherited []dragonflypass.OpenStream)
 	// ShardLoads returns the load summaries of the shards that this VM owns.
 	ShardLoads func() []dragonflypass.ShardLoad
-	// PartStatuses returns what other VMs should know of shared parts of prompts that crash servers.
-	PartStatuses func() []dragonflypass.PartStatus
-	// RequestStatuses returns what other VMs should know of requests that crash servers.
-	RequestStatuses func() []dragonflypass.RequestStatus
+	// Statuses returns what other VMs should know of shared parts of prompts, and of requests, that crash servers.
+	Statuses func() ([]dragonflypass.PartStatus, []dragonflypass.RequestStatus)
 	// Received is called with each heartbeat from another VM, with no lock held.
 	Received func(dragonflypass.Heartbeat)
 	// Watermarks returns the watermarks of the platform's topics on this VM.
@@ -140,8 +138,7 @@
 		MissingUpdates:    func([]dragonflypass.Watermark, bool) []dragonflypass.Watermark { return nil },
 		HeartbeatAnswered: func(time.Duration, dragonflypass.Heartbeat) {},
 		ShardLoads:        func() []dragonflypass.ShardLoad { return nil },
-		PartStatuses:      func() []dragonflypass.PartStatus { return nil },
-		RequestStatuses:   func() []dragonflypass.RequestStatus { return nil },
+		Statuses:          func() ([]dragonflypass.PartStatus, []dragonflypass.RequestStatus) { return nil, nil },
 		Partners:          func() []dragonflypass.VMID { return nil },
 		Sources:           func() []dragonflypass.VMID { return nil },
 		Topology:          mesher.Mesher{},
--- a/core/detector/exchange.go
+++ b/core/detector/exchange.go
@@ -226,13 +226,14 @@
 		shardLoads = d.ShardLoads()
 	}
 	granted, inherited := d.OpenStreams(to.ID)
+	parts, requests := d.Statuses()
 	return dragonflypass.Heartbeat{
 		From:             self,
 		PeerStatuses:     statuses,
 		ZoneSizes:        sizes,
 		ShardLoads:       shardLoads,
-		Parts:            d.PartStatuses(),
-		Requests:         d.RequestStatuses(),
+		Parts:            parts,
+		Requests:         requests,
 		Incarnation:      d.Incarnation,
 		ConfigOffset:     d.ConfigOffset(),
 		Loads:            d.Loads(),
--- a/core/quarantiner/quarantiner.go
+++ b/core/quarantiner/quarantiner.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"time"
 
 	"github.com/dragonflypass/dragonflypass"
@@ -59,8 +60,12 @@
 	suspects  map[dragonflypass.Fingerprint]*suspect
 	crashes   map[dragonflypass.CrashID]*crashRecord
 	successes map[dragonflypass.Fingerprint]time.Time
-	// completions holds the suspects that servers have completed.
-	completions map[dragonflypass.Fingerprint]completion
+	// grave holds the suspects that are quarantined or will be at the next crash. It may contain some that are no longer suspects.
+	grave map[dragonflypass.Fingerprint]struct{}
+	// completions holds the times at which servers completed suspects, and disputed those of which another VM has reported that it
+	// suspects the request because of earlier crashes.
+	completions map[dragonflypass.Fingerprint]time.Time
+	disputed    map[dragonflypass.Fingerprint]time.Time
 	parts       partTable
 }
 
@@ -79,7 +84,9 @@
 		suspects:    make(map[dragonflypass.Fingerprint]*suspect),
 		crashes:     make(map[dragonflypass.CrashID]*crashRecord),
 		successes:   make(map[dragonflypass.Fingerprint]time.Time),
-		completions: make(map[dragonflypass.Fingerprint]completion),
+		grave:       make(map[dragonflypass.Fingerprint]struct{}),
+		completions: make(map[dragonflypass.Fingerprint]time.Time),
+		disputed:    make(map[dragonflypass.Fingerprint]time.Time),
 		parts:       newPartTable(),
 	}
 }
@@ -184,6 +191,17 @@
 	return dragonflypass.Refuse(dragonflypass.ReasonQuarantined, until.Sub(now), "backend servers crashed while running requests with part %s of this prompt", part)
 }
 
+// Statuses returns what other VMs should know of shared parts and of requests.
+func (q *Quarantiner) Statuses() ([]dragonflypass.PartStatus, []dragonflypass.RequestStatus) {
+	return q.PartStatuses(), q.RequestStatuses()
+}
+
+// Merge adds what another VM knows of shared parts and of requests.
+func (q *Quarantiner) Merge(parts []dragonflypass.PartStatus, requests []dragonflypass.RequestStatus) {
+	q.MergeParts(parts)
+	q.MergeRequests(requests)
+}
+
 // PartStatuses returns what other VMs should know of shared parts: those that are quarantined and those that have been
 // cleared recently.
 func (q *Quarantiner) PartStatuses() []dragonflypass.PartStatus {
@@ -243,7 +261,7 @@
 		at = now
 	}
 	wasQuarantined := s.quarantined(q.CrashLimit)
-	s.add([]dragonflypass.CrashID{crash}, at, q.CrashLimit)
+	q.addCrashes(fingerprint, s, []dragonflypass.CrashID{crash}, at)
 	return !wasQuarantined && s.quarantined(q.CrashLimit)
 }
 
@@ -328,10 +346,8 @@
 			delete(q.suspects, fingerprint)
 		}
 	}
-	for fingerprint, c := range q.completions {
-		if now.Sub(c.at) > completionRetention {
-			delete(q.completions, fingerprint)
-		}
+	for _, times := range []map[dragonflypass.Fingerprint]time.Time{q.completions, q.disputed} {
+		maps.DeleteFunc(times, func(_ dragonflypass.Fingerprint, at time.Time) bool { return now.Sub(at) > completionRetention })
 	}
 	q.parts.sweep(now)
 }
--- a/core/quarantiner/requests.go
+++ b/core/quarantiner/requests.go
@@ -48,13 +48,6 @@
 // quarantined reports whether the request must not run.
 func (s *suspect) quarantined(limit int) bool { return len(s.crashes) >= limit }
 
-// completion is the completion of a suspect by a server.
-type completion struct {
-	at time.Time
-	// disputed is set once another VM has reported that it suspects the request because of earlier crashes.
-	disputed bool
-}
-
 // suspectOf returns the suspect with the fingerprint, and creates it if there is none. It is called with the mutex held.
 func (q *Quarantiner) suspectOf(fingerprint dragonflypass.Fingerprint, now time.Time) *suspect {
 	s, ok := q.suspects[fingerprint]
@@ -72,11 +65,29 @@
 	if !ok || s.quarantined(q.CrashLimit) {
 		return
 	}
+	q.clearSuspect(fingerprint, now)
+}
+
+// clearSuspect removes a suspect that a server has completed at the given time. It is called with the mutex held.
+func (q *Quarantiner) clearSuspect(fingerprint dragonflypass.Fingerprint, completedAt time.Time) {
 	delete(q.suspects, fingerprint)
-	evictIfFull(q.completions, maxCompletions, func(a, b completion) bool { return a.at.Before(b.at) })
-	q.completions[fingerprint] = completion{at: now}
+	if _, known := q.completions[fingerprint]; !known {
+		evictIfFull(q.completions, maxCompletions, time.Time.Before)
+	}
+	q.completions[fingerprint] = completedAt
+}
+
+// addCrashes adds crashes to a suspect. It is called with the mutex held.
+func (q *Quarantiner) addCrashes(fingerprint dragonflypass.Fingerprint, s *suspect, crashes []dragonflypass.CrashID, at time.Time) {
+	s.add(crashes, at, q.CrashLimit)
+	if q.isGrave(s) {
+		q.grave[fingerprint] = struct{}{}
+	}
 }
 
+// isGrave reports whether other VMs are told of the suspect.
+func (q *Quarantiner) isGrave(s *suspect) bool { return len(s.crashes) >= q.CrashLimit-1 }
+
 // RequestStatuses returns what other VMs should know of requests: those that are quarantined or will be at the next crash, and
 // those that another VM suspects although a server has completed them since.
 func (q *Quarantiner) RequestStatuses() []dragonflypass.RequestStatus {
@@ -84,15 +95,16 @@
 	q.mutex.Lock()
 	defer q.mutex.Unlock()
 	var suspects, completed []dragonflypass.RequestStatus
-	for fingerprint, s := range q.suspects {
-		if len(s.crashes) >= q.CrashLimit-1 && now.Before(s.expiresAt) {
-			suspects = append(suspects, dragonflypass.RequestStatus{Fingerprint: fingerprint, Crashes: slices.Clone(s.crashes), LastCrash: s.lastCrash})
+	for fingerprint := range q.grave {
+		s, ok := q.suspects[fingerprint]
+		if !ok || !q.isGrave(s) || !now.Before(s.expiresAt) {
+			delete(q.grave, fingerprint)
+			continue
 		}
+		suspects = append(suspects, dragonflypass.RequestStatus{Fingerprint: fingerprint, Crashes: slices.Clone(s.crashes), LastCrash: s.lastCrash})
 	}
-	for fingerprint, c := range q.completions {
-		if c.disputed {
-			completed = append(completed, dragonflypass.RequestStatus{Fingerprint: fingerprint, CompletedAt: c.at})
-		}
+	for fingerprint, at := range q.disputed {
+		completed = append(completed, dragonflypass.RequestStatus{Fingerprint: fingerprint, CompletedAt: at})
 	}
 	slices.SortFunc(suspects, func(a, b dragonflypass.RequestStatus) int {
 		return cmp.Or(cmp.Compare(len(b.Crashes), len(a.Crashes)), b.LastCrash.Compare(a.LastCrash))
@@ -136,9 +148,8 @@
 	if lastCrash.After(now) {
 		lastCrash = now
 	}
-	if c, ok := q.completions[status.Fingerprint]; ok && !lastCrash.After(c.at) {
-		c.disputed = true
-		q.completions[status.Fingerprint] = c
+	if completedAt, ok := q.completions[status.Fingerprint]; ok && !lastCrash.After(completedAt) {
+		q.dispute(status.Fingerprint, completedAt)
 		return 0
 	}
 	retention := suspectDuration
@@ -154,7 +165,7 @@
 		lastCrash = s.lastCrash
 	}
 	wasQuarantined := s.quarantined(q.CrashLimit)
-	s.add(status.Crashes, lastCrash, q.CrashLimit)
+	q.addCrashes(status.Fingerprint, s, status.Crashes, lastCrash)
 	if wasQuarantined || !s.quarantined(q.CrashLimit) {
 		return 0
 	}
@@ -165,15 +176,22 @@
 // number of requests removed, zero or one. It is called with the mutex held.
 func (q *Quarantiner) mergeCompletion(status dragonflypass.RequestStatus, now time.Time) int {
 	s, ok := q.suspects[status.Fingerprint]
-	if !ok || status.CompletedAt.After(now) || status.CompletedAt.Before(s.lastCrash) {
+	if !ok || status.CompletedAt.Before(s.lastCrash) {
 		return 0
 	}
-	delete(q.suspects, status.Fingerprint)
-	evictIfFull(q.completions, maxCompletions, func(a, b completion) bool { return a.at.Before(b.at) })
-	q.completions[status.Fingerprint] = completion{at: status.CompletedAt, disputed: true}
+	q.clearSuspect(status.Fingerprint, status.CompletedAt)
+	q.dispute(status.Fingerprint, status.CompletedAt)
 	return 1
 }
 
+// dispute lets other VMs know that a server has completed the request. It is called with the mutex held.
+func (q *Quarantiner) dispute(fingerprint dragonflypass.Fingerprint, completedAt time.Time) {
+	if _, known := q.disputed[fingerprint]; !known {
+		evictIfFull(q.disputed, maxRequestStatuses, time.Time.Before)
+	}
+	q.disputed[fingerprint] = completedAt
+}
+
 // Suspect describes a suspected or quarantined request in a state dump.
 type Suspect struct {
 	Account dragonflypass.AccountID
--- a/core/quarantiner/requests_test.go
+++ b/core/quarantiner/requests_test.go
@@ -103,3 +103,27 @@
 	joined.MergeRequests(first.RequestStatuses())
 	c.Check(joined.refusesRequest("flooder", fmt.Sprint(requests-1)), qt.IsTrue)
 }
+
+// TestClearedRequestIsNotQuarantinedByOldStatus delivers a status from before the completion to a VM that has ended its quarantine.
+func TestClearedRequestIsNotQuarantinedByOldStatus(t *testing.T) {
+	c := qt.New(t)
+	clock := newClock()
+	mistaken, other, third := newSite(clock), newSite(clock), newSite(clock)
+	request := suspect{"a", "lookup", nil}
+	for range 2 {
+		crash := mistaken.crash(request)
+		other.RecordCrash(crash)
+		third.RecordCrash(crash)
+		advance(clock, 100*time.Millisecond)
+		other.RecordSuccess(fingerprint("a", "lookup"))
+	}
+	old := third.RequestStatuses()
+	c.Assert(third.refusesRequest("a", "lookup"), qt.IsTrue)
+	exchange(mistaken, other)
+	exchange(other, mistaken)
+	c.Assert(mistaken.refusesRequest("a", "lookup"), qt.IsFalse)
+	mistaken.MergeRequests(old)
+	c.Check(mistaken.refusesRequest("a", "lookup"), qt.IsFalse)
+	exchange(mistaken, third)
+	c.Check(third.refusesRequest("a", "lookup"), qt.IsFalse)
+}
