Serve prompts that can still be on time first, and bound the work of a dispatch

Cause: in a burst of short prompts an owner ordered its queue by latest start, so that all became late together, and tried every queued request again at each event. With 60 requests queued it did not answer for 150 ms, the other VMs took over its shard and granted permits without knowing of each other's. Change: core/arbiter arranges the queue: prompts that can be on time before late ones, the newest short ones first while they are contested, heavy long prompts put off where they would make others late; late ones whose callers would leave are refused with a time to return. PermitRequest.AbandonedAt carries the time at which the caller leaves.

--- a/adapter/messenger/message.go
+++ b/adapter/messenger/message.go
@@ -68,12 +68,14 @@
 	ExpectedTokens int         `cbor:"expected"`
 	TimePerToken   int64       `cbor:"pace,omitempty"`
 	Fingerprint    fingerprint `cbor:"print"`
-	// Deadline, LatestStart and FirstTokenDeadline are encoded as the time remaining in nanoseconds, because the clocks
+	// Deadline, LatestStart, FirstTokenDeadline and AbandonedAt are encoded as the time remaining in nanoseconds, because the clocks
 	// of VMs differ.
 	Deadline           int64 `cbor:"deadline"`
 	LatestStart        int64 `cbor:"latest,omitempty"`
 	FirstTokenDeadline int64 `cbor:"target,omitempty"`
-	StreamFailures     int   `cbor:"breaks,omitempty"`
+	// AbandonedAt is ignored by the versions that do not know it.
+	AbandonedAt    int64 `cbor:"abandoned,omitempty"`
+	StreamFailures int   `cbor:"breaks,omitempty"`
 	// Begun is ignored by the versions that do not know it.
 	Begun           bool     `cbor:"begun,omitempty"`
 	ExcludedServers []string `cbor:"exclude,omitempty"`
@@ -219,7 +221,7 @@
 		Stream: toStreamID(r.Stream), Account: string(r.Account), Weight: r.Weight, Model: string(r.Model), Rank: uint8(r.Rank),
 		PromptTokens: r.PromptTokens, OutputTokens: r.OutputTokens, ExpectedTokens: r.ExpectedTokens,
 		TimePerToken: int64(r.TimePerToken), Fingerprint: toFingerprint(r.Fingerprint),
-		Deadline: toRemaining(r.Deadline, now), LatestStart: toRemaining(r.LatestStart, now), FirstTokenDeadline: toRemaining(r.FirstTokenDeadline, now),
+		Deadline: toRemaining(r.Deadline, now), LatestStart: toRemaining(r.LatestStart, now), FirstTokenDeadline: toRemaining(r.FirstTokenDeadline, now), AbandonedAt: toRemaining(r.AbandonedAt, now),
 		StreamFailures: r.StreamFailures, Begun: r.Begun, PinnedServer: string(r.PinnedServer), Group: r.Group,
 		Service: string(r.Service), Zone: string(r.Part.Zone), Index: r.Part.Index, Moved: r.Moved, ID: r.ID, Priority: r.Priority, MaxEventGap: int64(r.MaxEventGap),
 		Parts: toStrings(r.Parts),
@@ -236,7 +238,7 @@
 		Rank:         min(dragonflypass.Rank(w.Rank), dragonflypass.RankBulk),
 		PromptTokens: w.PromptTokens, OutputTokens: w.OutputTokens, ExpectedTokens: w.ExpectedTokens,
 		TimePerToken: time.Duration(w.TimePerToken), Fingerprint: w.Fingerprint.fingerprint(),
-		Deadline: fromRemaining(w.Deadline, now), LatestStart: fromRemaining(w.LatestStart, now), FirstTokenDeadline: fromRemaining(w.FirstTokenDeadline, now),
+		Deadline: fromRemaining(w.Deadline, now), LatestStart: fromRemaining(w.LatestStart, now), FirstTokenDeadline: fromRemaining(w.FirstTokenDeadline, now), AbandonedAt: fromRemaining(w.AbandonedAt, now),
 		StreamFailures: w.StreamFailures, Begun: w.Begun, PinnedServer: dragonflypass.ServerID(w.PinnedServer), Group: w.Group,
 		Service: dragonflypass.ServiceID(w.Service), Part: toPart(w.Zone, w.Index), Moved: w.Moved, ID: w.ID, Priority: w.Priority, MaxEventGap: time.Duration(w.MaxEventGap),
 		Parts: fromStrings[dragonflypass.SharedPart](w.Parts),
--- a/core/allocator/cluster.go
+++ b/core/allocator/cluster.go
@@ -9,6 +9,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"github.com/dragonflypass/dragonflypass"
+	"github.com/dragonflypass/dragonflypass/core/arbiter"
 	"github.com/dragonflypass/dragonflypass/core/predictor"
 )
 
@@ -71,8 +72,18 @@
 	lastRequest    time.Time
 	longGrantsFrom time.Time
 
-	// options is a buffer that is reused to avoid allocations.
-	options []option
+	// dispatchedAt is the time of the last dispatch, and blocked is set if it left requests queued.
+	dispatchedAt time.Time
+	blocked      bool
+	// shortGrants and lateGrants are the observed rates at which short prompts and late short prompts get permits.
+	shortGrants, lateGrants load
+	// available holds the servers that the dispatch in progress may use.
+	available []*server
+
+	// options, arranged and scratch are buffers that are reused to avoid allocations.
+	options  []option
+	arranged []arbiter.Prompt
+	scratch  []*queuedRequest
 }
 
 // server is the state of one model server.
@@ -86,6 +97,8 @@
 	// reservedTokens is the memory that permits reserve, in tokens.
 	reservedTokens int
 	streams        int
+	// healthy is the server's health at the start of the dispatch in progress.
+	healthy bool
 	// pending are the permits whose prompts the server still has to process, in whole or in part.
 	pending []*permit
 }
@@ -135,6 +148,7 @@
 		}
 		c = &cluster{shard: shard, costModel: costModel, servers: make(map[dragonflypass.ServerID]*server), shortServers: 1}
 		c.shortLoad.halfLife, c.longLoad.halfLife = shortHalfLife, longHalfLife
+		c.shortGrants.halfLife, c.lateGrants.halfLife = lateHalfLife, lateHalfLife
 		a.clusters[shard] = c
 		a.refresh(c)
 	}
@@ -176,6 +190,8 @@
 	for i, s := range c.serverList {
 		s.position = i
 	}
+	// The new servers may run what the others could not.
+	c.blocked = false
 }
 
 // load returns a summary of the load.
--- a/core/allocator/place.go
+++ b/core/allocator/place.go
@@ -2,7 +2,6 @@
 
 import (
 	"cmp"
-	"context"
 	"fmt"
 	"slices"
 	"time"
@@ -36,11 +35,6 @@
 	maxDelayedStreams = 1
 	// slackMargin is the time before the latest start of a long prompt from which the prompt may delay other streams.
 	slackMargin = 300 * time.Millisecond
-	// longAttemptsPerDispatch is the number of long prompts that a dispatch may fail to place before it leaves the others
-	// queued.
-	longAttemptsPerDispatch = 16
-	// dispatchInterval is the time between two dispatches while requests are queued.
-	dispatchInterval = 15 * time.Millisecond
 	// lateValue is the value of a late long prompt, relative to one that is on time.
 	lateValue = 0.4
 	// newDecodeCost is the additional cost of a long prompt's first server if no stream there has an event gap limit.
@@ -103,104 +97,6 @@
 	return limit == 0 || q.prefillTime/time.Duration(parts)+costModel.PassTime(1, 0)+eventGapMargin <= limit
 }
 
-// dispatch grants or refuses the queued requests that can be decided now; the mutex must be held.
-func (a *Allocator) dispatch(c *cluster, now time.Time) (results []permitResult) {
-	if len(c.queue) == 0 {
-		return nil
-	}
-	arrival := now.Add(transitTime)
-	for _, s := range c.serverList {
-		s.engine.Advance(arrival)
-		s.backlog = s.engine.Backlog(arrival)
-	}
-	c.resize(now)
-	c.sortQueue(now)
-	longAttempts := longAttemptsPerDispatch
-	remaining := c.queue[:0]
-	for _, q := range c.queue {
-		result, ok := a.tryGrant(c, q, &longAttempts, now)
-		if !ok {
-			remaining = append(remaining, q)
-			continue
-		}
-		results = append(results, result)
-	}
-	clear(c.queue[len(remaining):])
-	c.queue = remaining
-	a.scheduleDispatch(c, now)
-	return results
-}
-
-// sortQueue sorts the queued requests by class, and within a class by latest start.
-func (c *cluster) sortQueue(now time.Time) {
-	slices.SortStableFunc(c.queue, func(x, y *queuedRequest) int {
-		return cmp.Or(cmp.Compare(c.class(x, now), c.class(y, now)), c.latestStart(x).Compare(c.latestStart(y)))
-	})
-}
-
-// Classes of queued requests, in the order in which they are served.
-const (
-	classShort = iota
-	// classDue is for long prompts that can still be on time.
-	classDue
-	// classLate is for long prompts that cannot.
-	classLate
-)
-
-func (c *cluster) class(q *queuedRequest, now time.Time) int {
-	switch {
-	case c.isShort(q):
-		return classShort
-	case c.latestStart(q).After(now):
-		return classDue
-	}
-	return classLate
-}
-
-// latestStart returns the time after which the first token of a long prompt cannot be on time.
-func (c *cluster) latestStart(q *queuedRequest) time.Time {
-	parts := max(1, min(len(c.serverList)-c.shortServers, maxParts))
-	return q.request.FirstTokenDeadline.Add(-q.prefillTime / time.Duration(parts))
-}
-
-// tryGrant grants or refuses the request, or returns false if it stays queued. longAttempts is the number of long
-// prompts that this dispatch may still fail to place.
-func (a *Allocator) tryGrant(c *cluster, q *queuedRequest, longAttempts *int, now time.Time) (permitResult, bool) {
-	usable := a.usableServers(c, q)
-	if len(usable) == 0 && !a.RegistryLoaded() {
-		return permitResult{}, false
-	}
-	if len(usable) == 0 {
-		return permitResult{queued: q, err: dragonflypass.Refuse(dragonflypass.ReasonNoServer, defaultRetryAfter, "no server of the service can run the request")}, true
-	}
-	if now.Add(q.prefillTime/time.Duration(min(len(usable), maxParts)) + c.minDecodeTime(q)).After(q.request.Deadline) {
-		return permitResult{queued: q, err: dragonflypass.Refuse(dragonflypass.ReasonTimeout, 0, "no server can end the request by its deadline")}, true
-	}
-	short := c.isShort(q)
-	if !short && (*longAttempts == 0 || now.Before(c.longGrantsFrom)) {
-		return permitResult{}, false
-	}
-	best, ok := c.bestPlacement(q, usable, short, now)
-	if !ok || best.firstToken.Add(c.minDecodeTime(q)).After(q.request.Deadline) || !a.acceptable(c, q, best, short, now) {
-		if !short {
-			*longAttempts--
-		}
-		return permitResult{}, false
-	}
-	return permitResult{queued: q, permit: a.grant(c, q, best, now)}, true
-}
-
-// acceptable reports whether to grant the placement rather than wait for a better one.
-func (a *Allocator) acceptable(c *cluster, q *queuedRequest, best placement, short bool, now time.Time) bool {
-	if short {
-		return best.delayedStreams == 0 || (best.delayedStreams <= maxDelayedStreams && now.Sub(q.queuedAt) >= maxShortWait)
-	}
-	if c.occupiesTooLong(q, 1+len(best.helpers)) && c.shorterQueued(q) {
-		return false
-	}
-	return best.delayedStreams == 0 || (best.value > 0 && c.startDue(q, now))
-}
-
 // minDecodeTime returns the minimum time that the generation of the answer takes after the prompt has been processed.
 func (c *cluster) minDecodeTime(q *queuedRequest) time.Duration {
 	tokens := c.expectedOutput(q)
@@ -226,7 +122,8 @@
 
 // startDue reports whether a long prompt must start now, even at servers where it delays other streams, to be on time.
 func (c *cluster) startDue(q *queuedRequest, now time.Time) bool {
-	return c.class(q, now) == classDue && c.latestStart(q).Sub(now) < slackMargin
+	slack := c.latestStart(q).Sub(now)
+	return slack > 0 && slack < slackMargin
 }
 
 // placementValue returns the value of a placement for a long prompt, minus the loss for the streams that it delays.
@@ -238,23 +135,43 @@
 	return value - (1-lateValue)*candidate.delayedStreams
 }
 
-// usableServers returns the servers that may process the request: the healthy ones, or all if none is healthy, without
-// those that leave. The mutex must be held.
+// usableServers returns the servers that may process the request. The mutex must be held.
 func (a *Allocator) usableServers(c *cluster, q *queuedRequest) []*server {
-	var healthy, all []*server
+	return withoutExcluded(a.availableServers(c, nil), q.request.ExcludedServers)
+}
+
+// availableServers appends the servers that may receive requests to the list: the healthy ones, or all if none is healthy,
+// without those that leave. The mutex must be held.
+func (a *Allocator) availableServers(c *cluster, list []*server) []*server {
+	start := len(list)
+	healthy := 0
 	for _, s := range c.serverList {
-		if slices.Contains(q.request.ExcludedServers, s.entry.ID) || a.Leaving(s.entry) {
+		if a.Leaving(s.entry) {
 			continue
 		}
-		all = append(all, s)
-		if a.Assessor.Healthy(s.entry.ID) {
-			healthy = append(healthy, s)
+		list = append(list, s)
+		if s.healthy = a.Assessor.Healthy(s.entry.ID); s.healthy {
+			healthy++
 		}
 	}
-	if len(healthy) == 0 {
-		return all
+	if healthy == 0 {
+		return list
+	}
+	return append(list[:start], slices.DeleteFunc(list[start:], func(s *server) bool { return !s.healthy })...)
+}
+
+// withoutExcluded returns the servers that are not listed.
+func withoutExcluded(servers []*server, excluded []dragonflypass.ServerID) []*server {
+	if len(excluded) == 0 {
+		return servers
+	}
+	var rest []*server
+	for _, s := range servers {
+		if !slices.Contains(excluded, s.entry.ID) {
+			rest = append(rest, s)
+		}
 	}
-	return healthy
+	return rest
 }
 
 // partCounts are the numbers of parts that are compared.
@@ -439,18 +356,3 @@
 func reservationName(stream dragonflypass.StreamID, index int) string {
 	return fmt.Sprintf("%s-%x-%d-%d", stream.VM, stream.Incarnation, stream.Sequence, index)
 }
-
-// scheduleDispatch schedules the next dispatch if requests are queued; the mutex must be held.
-func (a *Allocator) scheduleDispatch(c *cluster, now time.Time) {
-	if len(c.queue) == 0 || c.cancelDispatch != nil {
-		return
-	}
-	c.cancelDispatch = a.Timer.At(dragonflypass.JobSweep, now.Add(dispatchInterval), func(context.Context) {
-		now := a.Timer.Now()
-		a.mutex.Lock()
-		c.cancelDispatch = nil
-		results := a.dispatch(c, now)
-		a.mutex.Unlock()
-		a.notify(results)
-	})
-}
--- a/core/relayer/stream.go
+++ b/core/relayer/stream.go
@@ -71,9 +71,14 @@
 	if shape == nil {
 		shape = &dragonflypass.PromptShape{}
 	}
+	var abandonedAt time.Time
+	if !j.headWritten {
+		abandonedAt = e.Arrived.Add(j.route.Patience())
+	}
 	return dragonflypass.PermitRequest{
-		Stream: dragonflypass.StreamID{VM: r.Self.ID, Incarnation: r.Incarnation, Sequence: r.sequence.Add(1)},
-		ID:     e.ID, Account: j.match.Account, Model: shape.Model, Service: j.service, Priority: j.match.Priority,
+		AbandonedAt: abandonedAt,
+		Stream:      dragonflypass.StreamID{VM: r.Self.ID, Incarnation: r.Incarnation, Sequence: r.sequence.Add(1)},
+		ID:          e.ID, Account: j.match.Account, Model: shape.Model, Service: j.service, Priority: j.match.Priority,
 		PromptTokens: shape.Tokens, OutputTokens: shape.OutputTokens, ExpectedTokens: shape.ExpectedTokens,
 		MaxEventGap: j.route.MaxEventGap, ExcludedServers: slices.Concat(j.excluded, r.Excluder.ExcludedServers(j.service)), Deadline: j.deadline, FirstTokenDeadline: e.Arrived.Add(j.route.LatencyObjective),
 		Fingerprint: j.fingerprint(),
--- a/metrics.go
+++ b/metrics.go
@@ -22,6 +22,7 @@
 	CountPermitExpired     Counter = "permits_expired"
 	CountPermitRefused     Counter = "permits_refused"
 	CountPermitMoved       Counter = "permits_moved"
+	CountPermitShed        Counter = "permits_shed"
 	CountOrphanCancelled   Counter = "orphans_cancelled"
 	CountReportFailed      Counter = "reports_failed"
 	CountHeartbeatSent     Counter = "heartbeats_sent"
--- a/permit.go
+++ b/permit.go
@@ -31,6 +31,8 @@
 	LatestStart time.Time
 	// FirstTokenDeadline is the time by which the first token is due.
 	FirstTokenDeadline time.Time
+	// AbandonedAt is the time at which the caller leaves if it has received no event, zero if it is not known.
+	AbandonedAt time.Time
 	// StreamFailures is the number of streams of this request that failed at a backend server.
 	StreamFailures int
 	// Begun is set once the caller has received a part of the answer.
--- a/route.go
+++ b/route.go
@@ -62,6 +62,20 @@
 	Resumable bool
 }
 
+const (
+	// minPatience, objectivePatience and gapPatience are the parts of the platform's rule for callers: one ends a stream
+	// that has brought no event for two seconds, four times the latency objective or eight times the longest event gap,
+	// whichever is longest.
+	minPatience       = 2 * time.Second
+	objectivePatience = 4
+	gapPatience       = 8
+)
+
+// Patience returns how long the caller of a stream waits for its first event.
+func (r *RoutePolicy) Patience() time.Duration {
+	return max(minPatience, objectivePatience*r.LatencyObjective, gapPatience*r.MaxEventGap)
+}
+
 // Retryable reports whether a request of the route may run more than once.
 func (r *RoutePolicy) Retryable() bool {
 	return r.Kind == KindIdempotent || (r.Kind == KindStream && r.Resumable)
