--- a/core/relayer/attempt.go
+++ b/core/relayer/attempt.go
@@ -25,6 +25,8 @@
 	response dragonflypass.BackendResponse
 	// firstChunk is the first event if it was read before the attempt took over from another one, else nil.
 	firstChunk *dragonflypass.Chunk
+	// failedHelper is the helper that refused to reserve memory, empty if none did.
+	failedHelper dragonflypass.ServerID
 	// freeMemory frees the memory reserved at helpers; it is nil if none is reserved.
 	freeMemory func()
 }
@@ -78,6 +80,7 @@
 func (r *Relayer) sendStream(a *attempt, j *job) error {
 	freeMemory, failedHelper, err := r.Reserver.Reserve(a.ctx, a.permit.Helpers, a.open.prefilled.Load, func() { r.replaceUnbegun(a.open) })
 	if err != nil {
+		a.failedHelper = failedHelper.Server
 		return eris.Wrapf(dragonflypass.ErrRefused, "no memory reserved at %s: %v", failedHelper.Server, err)
 	}
 	a.freeMemory = freeMemory
@@ -118,7 +121,11 @@
 	r.unregister(a.permit.Stream)
 	j.attemptHistory = append(j.attemptHistory, fmt.Sprintf("%s %s owner %s helpers %d predicted %s", a.permit.Server,
 		describeAttempt(nil, err, r.Timer.Now().Sub(a.startedAt)), a.permit.Owner, len(a.permit.Helpers), a.permit.TimeToFirstToken.Round(time.Millisecond)))
-	if !errors.Is(err, errSuperseded) {
+	switch {
+	case a.failedHelper != "":
+		// The server itself has not been asked.
+		j.excluded = append(j.excluded, a.failedHelper)
+	case !errors.Is(err, errSuperseded):
 		j.excluded = append(j.excluded, a.permit.Server)
 	}
 	r.checkForCrash(a.ctx, j, a.permit.Server, a.startedAt, a.open.prefilled.Load(), err)
