Move requests away from a shard without healthy servers

Cause: if all servers of a zone crashed, the owner of its shard kept granting permits for them, one after the other: requests had 27 attempts, and 128 ended for want of retries. Change: a request that arrives at a shard without a healthy server is moved to another shard.

--- a/core/allocator/balance.go
+++ b/core/allocator/balance.go
@@ -1,6 +1,7 @@
 package allocator
 
 import (
+	"slices"
 	"time"
 
 	"github.com/dragonflypass/dragonflypass"
@@ -22,7 +23,8 @@
 	}
 	short := c.isShort(q)
 	part, ok := a.Balancer.Move(c.load(now), short, q.prefillTime)
-	if !ok && len(a.usableServers(c, q)) == 0 {
+	// The servers of a zone that has failed would refuse the request one after the other.
+	if !ok && !slices.ContainsFunc(a.usableServers(c, q), func(s *server) bool { return s.healthy }) {
 		part, ok = a.Balancer.MoveAway(c.shard, short, q.prefillTime)
 	}
 	if !ok {
