Send no new work to the servers of evacuated zones

Cause: operators ask for the evacuation of a zone by a record evacuate/ZONE in the topic of the route table. Nothing read it, so requests kept reaching the zone until its servers went away.

Owners take the servers out of their lists but keep their streams accounted for, and move or refuse the queue of an evacuated shard at once. The balancer and the sharder pass over such zones. The VM that sends a request checks the zones of its permit's servers again and returns the permit unused, which uses no attempt and is no failure of a server.

TestRenewalInProgressDoesNotOutliveRelease sets the new field of Reserver.

--- a/adapter/exposer/dump.go
+++ b/adapter/exposer/dump.go
@@ -21,11 +21,13 @@
 	Topics         []Topic                        `json:"topics"`
 	Members        []Member                       `json:"members"`
 	// Zones are the numbers of live VMs by zone, and Hubs the hubs of all zones.
-	Zones          map[dragonflypass.AvailabilityZone]int `json:"zones"`
-	Hubs           []dragonflypass.VMID                   `json:"hubs"`
-	Owners         []Owner                                `json:"owners"`
-	Registry       []RegistryEntry                        `json:"registry"`
-	FailingServers []FailingServer                        `json:"failing"`
+	Zones map[dragonflypass.AvailabilityZone]int `json:"zones"`
+	// EvacuatedZones are the zones whose servers receive no new work.
+	EvacuatedZones []EvacuatedZone      `json:"evacuated"`
+	Hubs           []dragonflypass.VMID `json:"hubs"`
+	Owners         []Owner              `json:"owners"`
+	Registry       []RegistryEntry      `json:"registry"`
+	FailingServers []FailingServer      `json:"failing"`
 	// ExcludedServers are the backend servers that expect no new requests from this VM.
 	ExcludedServers []ExcludedServer `json:"excluded"`
 	QueuedRequests  int              `json:"waiting"`
@@ -90,6 +92,12 @@
 	EjectedUntil time.Time              `json:"out"`
 }
 
+// EvacuatedZone is a zone whose servers receive no new work, with the time at which the VM learnt of its evacuation.
+type EvacuatedZone struct {
+	Zone  dragonflypass.AvailabilityZone `json:"zone"`
+	Since time.Time                      `json:"since"`
+}
+
 // ExcludedServer is a backend server that expects no new requests from this VM.
 type ExcludedServer struct {
 	Server    dragonflypass.ServerID `json:"server"`
@@ -174,6 +182,9 @@
 	for _, f := range s.FailingServers {
 		d.FailingServers = append(d.FailingServers, FailingServer(f))
 	}
+	for _, z := range s.EvacuatedZones {
+		d.EvacuatedZones = append(d.EvacuatedZones, EvacuatedZone(z))
+	}
 	for _, server := range s.ExcludedServers {
 		d.ExcludedServers = append(d.ExcludedServers, ExcludedServer(server))
 	}
--- a/cmd/dragonflyctl/fleet.go
+++ b/cmd/dragonflyctl/fleet.go
@@ -37,10 +37,10 @@
 func printFleet(out io.Writer, d *exposer.Dump) error {
 	w := tabwriter.NewWriter(out, 0, 0, 2, ' ', 0)
 	fmt.Fprintf(w, "seen by %s in %s at %s, %s\n", d.VM, d.Zone, d.At.Format(time.TimeOnly), readyText(d))
-	fmt.Fprintln(w, "\nzone\tVMs\thubs")
-	hubs := hubsByZone(d)
-	for _, zone := range slices.Sorted(maps.Keys(d.Zones)) {
-		fmt.Fprintf(w, "%s\t%d\t%s\n", zone, d.Zones[zone], strings.Join(hubs[zone], " "))
+	fmt.Fprintln(w, "\nzone\tVMs\thubs\tservers")
+	hubs, evacuated := hubsByZone(d), evacuationsByZone(d)
+	for _, zone := range zonesOf(d) {
+		fmt.Fprintf(w, "%s\t%d\t%s\t%s\n", zone, d.Zones[zone], strings.Join(hubs[zone], " "), cmp.Or(evacuated[zone], "in service"))
 	}
 	fmt.Fprintln(w, "\ntopic\toffset\tcurrent\treaders")
 	for _, t := range d.Topics {
@@ -81,6 +81,25 @@
 	return hubs
 }
 
+// evacuationsByZone returns the text for each evacuated zone.
+func evacuationsByZone(d *exposer.Dump) map[dragonflypass.AvailabilityZone]string {
+	texts := make(map[dragonflypass.AvailabilityZone]string)
+	for _, z := range d.EvacuatedZones {
+		texts[z.Zone] = "evacuated since " + z.Since.Format(time.TimeOnly)
+	}
+	return texts
+}
+
+// zonesOf returns the zones with live VMs and the evacuated ones, sorted.
+func zonesOf(d *exposer.Dump) []dragonflypass.AvailabilityZone {
+	zones := slices.Collect(maps.Keys(d.Zones))
+	for _, z := range d.EvacuatedZones {
+		zones = append(zones, z.Zone)
+	}
+	slices.Sort(zones)
+	return slices.Compact(zones)
+}
+
 func joinVMs(ids []dragonflypass.VMID) string {
 	names := make([]string, len(ids))
 	for i, id := range ids {
--- a/core/allocator/allocator.go
+++ b/core/allocator/allocator.go
@@ -57,6 +57,8 @@
 	// Leaving reports whether the server has said that it leaves, and RecordLeaving records that another VM was told so.
 	Leaving       func(server dragonflypass.ServerEntry) bool
 	RecordLeaving func(server dragonflypass.ServerEntry)
+	// Evacuated reports whether the servers of the zone must receive no new requests. Their running streams stay accounted for.
+	Evacuated func(zone dragonflypass.AvailabilityZone) bool
 	// Balancer moves requests to other shards; nil if each service has a single one.
 	Balancer Balancer
 
@@ -109,6 +111,7 @@
 		RegistryLoaded: func() bool { return true },
 		Leaving:        func(dragonflypass.ServerEntry) bool { return false },
 		RecordLeaving:  func(dragonflypass.ServerEntry) {},
+		Evacuated:      func(dragonflypass.AvailabilityZone) bool { return false },
 		mutex:          locker.Mutex{Order: locker.Servers},
 		clusters:       make(map[dragonflypass.Shard]*cluster),
 		permits:        make(map[dragonflypass.StreamID]*permit),
@@ -299,17 +302,21 @@
 	a.notify(results)
 }
 
-// RejectUnservable updates the servers of all services, and refuses the queued requests whose service has no usable
-// server left.
+// RejectUnservable updates the servers of all services, moves the queued requests of evacuated shards to others, and refuses
+// those whose service has no usable server left.
 func (a *Allocator) RejectUnservable() {
 	now := a.Timer.Now()
 	a.mutex.Lock()
-	var results []permitResult
+	var moved, results []permitResult
 	for _, c := range a.clusters {
 		a.refresh(c)
+		moved = append(moved, a.moveEvacuated(c)...)
 		results = append(results, a.dispatch(c, now)...)
 	}
 	a.mutex.Unlock()
+	for _, m := range moved {
+		m.queued.done(m.permit, m.err)
+	}
 	a.notify(results)
 }
 
--- a/core/allocator/balance.go
+++ b/core/allocator/balance.go
@@ -1,6 +1,7 @@
 package allocator
 
 import (
+	"slices"
 	"time"
 
 	"github.com/dragonflypass/dragonflypass"
@@ -17,7 +18,7 @@
 // moveToOtherShard returns the refusal that directs a request to another shard, nil if this one takes it. The mutex must be
 // held.
 func (a *Allocator) moveToOtherShard(c *cluster, q *queuedRequest, now time.Time) *dragonflypass.Refusal {
-	if a.Balancer == nil || c.shard.Part.IsWhole() || q.request.Moved {
+	if a.Balancer == nil || c.shard.Part.IsWhole() || q.request.Moved && !a.Evacuated(c.shard.Part.Zone) {
 		return nil
 	}
 	short := c.isShort(q)
@@ -28,12 +29,34 @@
 	if !ok {
 		return nil
 	}
+	return a.elsewhere(part)
+}
+
+// elsewhere counts a request that is moved and returns the refusal that directs it to the shard.
+func (a *Allocator) elsewhere(part dragonflypass.ShardPart) *dragonflypass.Refusal {
 	a.Meter.Add(dragonflypass.CountPermitMoved, 1)
 	refusal := dragonflypass.Refuse(dragonflypass.ReasonElsewhere, defaultRetryAfter, "the servers of shard %s have less load", part)
 	refusal.Part = part
 	return refusal
 }
 
+// moveEvacuated removes the queued requests of a shard whose zone is evacuated from the queue, as far as another shard can
+// take them, and returns the refusals that direct them there. The mutex must be held.
+func (a *Allocator) moveEvacuated(c *cluster) (moved []permitResult) {
+	if a.Balancer == nil || c.shard.Part.IsWhole() || !a.Evacuated(c.shard.Part.Zone) {
+		return nil
+	}
+	c.queue = slices.DeleteFunc(c.queue, func(q *queuedRequest) bool {
+		part, ok := a.Balancer.MoveAway(c.shard, c.isShort(q), q.prefillTime)
+		if ok {
+			a.Meter.Add(dragonflypass.CountRequestEvacuated, 1)
+			moved = append(moved, permitResult{queued: q, err: a.elsewhere(part)})
+		}
+		return ok
+	})
+	return moved
+}
+
 // ShardLoads returns the load summaries of the shards for which this VM has recently been asked for permits, or of those
 // given if it owns them.
 func (a *Allocator) ShardLoads(owned []dragonflypass.Shard) []dragonflypass.ShardLoad {
--- a/core/allocator/cluster.go
+++ b/core/allocator/cluster.go
@@ -30,6 +30,9 @@
 	shrinkInterval = 50 * time.Millisecond
 )
 
+// unlisted is the position of a server that is not in the serverList; it is after those reserved for short prompts.
+const unlisted = math.MaxInt
+
 // load is an exponentially decaying sum of processing time.
 type load struct {
 	halfLife  time.Duration
@@ -55,7 +58,8 @@
 	shard     dragonflypass.Shard
 	costModel *dragonflypass.EngineCostModel
 	servers   map[dragonflypass.ServerID]*server
-	// serverList holds the servers in a fixed order; the first ones are reserved for short prompts.
+	// serverList holds the servers that may receive requests in a fixed order; the first ones are reserved for short prompts.
+	// Those in evacuated zones are only in servers, where their running streams are accounted for.
 	serverList []*server
 	queue      []*queuedRequest
 
@@ -81,7 +85,7 @@
 	engine *predictor.Engine
 	// backlog is the predicted pending work, including the permits granted so far in the current dispatch.
 	backlog predictor.Backlog
-	// position is the server's index in the serverList of the cluster.
+	// position is the server's index in the serverList of the cluster, unlisted if it is not there.
 	position int
 	// reservedTokens is the memory that permits reserve, in tokens.
 	reservedTokens int
@@ -168,6 +172,10 @@
 	}
 	c.serverList = c.serverList[:0]
 	for _, s := range c.servers {
+		if a.Evacuated(s.entry.Zone) {
+			s.position = unlisted
+			continue
+		}
 		c.serverList = append(c.serverList, s)
 	}
 	slices.SortFunc(c.serverList, func(x, y *server) int {
@@ -245,7 +253,7 @@
 	defer a.mutex.Unlock()
 	for _, c := range a.clusters {
 		waiting += len(c.queue)
-		for _, s := range c.serverList {
+		for _, s := range c.servers {
 			states = append(states, ServerState{
 				Service: c.shard.Service, Server: s.entry.ID, Streams: s.streams, Pending: len(s.pending), Reserved: s.reservedTokens, ShortPromptsOnly: s.position < c.shortServers,
 			})
--- a/core/balancer/balancer.go
+++ b/core/balancer/balancer.go
@@ -34,6 +34,8 @@
 	Timer    dragonflypass.Timer
 	Assessor *assessor.Assessor
 	Excluder *excluder.Excluder
+	// Evacuated reports whether the servers of the zone must receive no new requests.
+	Evacuated func(zone dragonflypass.AvailabilityZone) bool
 
 	mutex   locker.Mutex
 	servers map[dragonflypass.ServerID]*serverLoad
@@ -53,18 +55,21 @@
 
 // New returns a balancer that tracks no servers.
 func New() *Balancer {
-	return &Balancer{mutex: locker.Mutex{Order: locker.Servers}, servers: make(map[dragonflypass.ServerID]*serverLoad)}
+	return &Balancer{
+		Evacuated: func(dragonflypass.AvailabilityZone) bool { return false },
+		mutex:     locker.Mutex{Order: locker.Servers}, servers: make(map[dragonflypass.ServerID]*serverLoad),
+	}
 }
 
 // Pick selects the server with the lowest cost and counts the request as in flight there; ok is false if all
-// servers are excluded or expect no new requests.
+// servers are excluded, expect no new requests or are in evacuated zones.
 func (b *Balancer) Pick(entries []dragonflypass.ServerEntry, excluded []dragonflypass.ServerID) (best dragonflypass.ServerEntry, ok bool) {
 	now := b.Timer.Now()
 	b.mutex.Lock()
 	defer b.mutex.Unlock()
 	var lowestCost float64
 	for i := range entries {
-		if slices.Contains(excluded, entries[i].ID) || b.Excluder.Excluded(entries[i].ID, entries[i].Address) {
+		if b.Evacuated(entries[i].Zone) || slices.Contains(excluded, entries[i].ID) || b.Excluder.Excluded(entries[i].ID, entries[i].Address) {
 			continue
 		}
 		if cost := b.cost(&entries[i], now); !ok || cost < lowestCost {
--- a/core/composer/relay.go
+++ b/core/composer/relay.go
@@ -15,6 +15,7 @@
 	"github.com/dragonflypass/dragonflypass/core/balancer"
 	"github.com/dragonflypass/dragonflypass/core/connector"
 	"github.com/dragonflypass/dragonflypass/core/detector"
+	"github.com/dragonflypass/dragonflypass/core/evacuator"
 	"github.com/dragonflypass/dragonflypass/core/excluder"
 	"github.com/dragonflypass/dragonflypass/core/follower"
 	"github.com/dragonflypass/dragonflypass/core/handler"
@@ -74,6 +75,7 @@
 	Registrar   *registrar.Registrar
 	Assessor    *assessor.Assessor
 	Excluder    *excluder.Excluder
+	Evacuator   *evacuator.Evacuator
 	Prober      *prober.Prober
 	Balancer    *balancer.Balancer
 	Allocator   *allocator.Allocator
@@ -146,6 +148,7 @@
 	n.composeTopics()
 	n.composeServers()
 	n.composeRelayer()
+	n.connectEvacuator()
 	n.Detector.Subscribe(n.notifyNewOwners)
 	return n
 }
@@ -183,7 +186,7 @@
 
 func (n *Relay) composeTopics() {
 	o, p := n.Options, n.Ports
-	n.Routing = n.newFollower(dragonflypass.TopicRouting, dragonflypass.JobRouting, equalTables)
+	n.Routing = n.newFollower(dragonflypass.TopicRouting, dragonflypass.JobRouting, equalOperatorRecords)
 	n.Routing.PollInterval = routingPollInterval
 	n.Routing.PollPolicy = func() follower.PollPolicy {
 		policy := n.pollPolicy(routingLongPoll, largeFleetLongPoll, routingMaxStaleness)
@@ -201,6 +204,7 @@
 	g := registrar.New()
 	g.Timer, g.Logger, g.StoreRecoveredAt = p.Timer, p.Logger, n.Registry.StoreRecoveredAt
 	n.Registrar = g
+	n.composeEvacuator()
 	for f, apply := range map[*follower.Follower]func([]dragonflypass.Update){n.Routing: r.ApplyUpdates, n.Registry: g.ApplyUpdates} {
 		f.Subscribe(apply)
 		f.Changed = n.forwardChange
@@ -410,10 +414,6 @@
 	return slices.Contains(n.readers(topic), n.Options.Self.ID)
 }
 
-func equalTables(older, newer dragonflypass.Update) bool {
-	return older.Table != nil && newer.Table != nil && older.Table.Version == newer.Table.Version
-}
-
 // equalServers reports whether two entries are equal, ignoring the remaining warm-up time of the server.
 func equalServers(older, newer dragonflypass.Update) bool {
 	if older.Server == nil || newer.Server == nil {
--- /dev/null
+++ b/core/evacuator/doc.go
@@ -0,0 +1,2 @@
+// Package evacuator keeps the set of zones whose servers receive no new work because the operators evacuate them.
+package evacuator
--- a/core/relayer/attempt.go
+++ b/core/relayer/attempt.go
@@ -77,10 +77,13 @@
 // or the refusal.
 func (r *Relayer) sendStream(a *attempt, j *job) error {
 	freeMemory, failedHelper, err := r.Reserver.Reserve(a.ctx, a.permit.Helpers, a.open.prefilled.Load, func() { r.replaceUnbegun(a.open) })
+	a.freeMemory = freeMemory
+	if evacuated := r.checkEvacuated(j, a.permit); evacuated != nil {
+		return evacuated
+	}
 	if err != nil {
 		return eris.Wrapf(dragonflypass.ErrRefused, "no memory reserved at %s: %v", failedHelper.Server, err)
 	}
-	a.freeMemory = freeMemory
 	request := j.backendRequest(a.permit.Server)
 	request.Address, request.Helpers, request.Urgency = a.permit.Address, a.permit.Helpers, a.permit.Priority
 	response, err := r.sendRequest(a.ctx, request)
@@ -163,7 +166,7 @@
 	switch {
 	case err == nil:
 		return dragonflypass.OutcomeDone
-	case errors.Is(err, dragonflypass.ErrRefused):
+	case errors.Is(err, dragonflypass.ErrRefused), errors.Is(err, errEvacuated):
 		return dragonflypass.OutcomeRefused
 	case errors.Is(err, errSuperseded), ctx.Err() != nil && !isAbandonment(err):
 		return dragonflypass.OutcomeCancelled
--- a/core/relayer/buffered.go
+++ b/core/relayer/buffered.go
@@ -72,12 +72,18 @@
 // shouldTryAnother reports whether another server is tried after the error, or after a response that reported a
 // failure if err is nil.
 func (r *Relayer) shouldTryAnother(ctx context.Context, j *job, err error) bool {
-	if errors.Is(err, dragonflypass.ErrUnavailable) {
+	if nothingSent(err) {
 		return ctx.Err() == nil
 	}
 	return r.mayRetry(ctx, j)
 }
 
+// nothingSent reports whether the attempt that ended with the error has sent nothing to its server, so that it uses neither
+// an attempt of the route nor the retry budget.
+func nothingSent(err error) bool {
+	return errors.Is(err, dragonflypass.ErrUnavailable) || errors.Is(err, errEvacuated)
+}
+
 // recordResult adds the result to the attempt history, excludes the server from further attempts, and counts the attempt
 // or the refusal.
 func (j *job) recordResult(res *result) {
--- a/core/relayer/notice.go
+++ b/core/relayer/notice.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"net/netip"
+	"slices"
 	"time"
 
 	"github.com/dragonflypass/dragonflypass"
@@ -29,13 +30,17 @@
 }
 
 // returnExcluded returns the permit unused and reports true if one of its servers may receive no new request. The server
-// may have said so while the permit was requested, or only to this VM.
+// may have said so while the permit was requested, or only to this VM, or its zone is evacuated.
 func (r *Relayer) returnExcluded(j *job, permit dragonflypass.Permit) bool {
 	excluded := permitServers(permit, r.Excluder.Excluded)
-	if len(excluded) == 0 {
+	evacuated := permitServers(permit, r.Evacuator.ServerEvacuated)
+	if len(excluded)+len(evacuated) == 0 {
 		return false
 	}
 	j.excluded = append(j.excluded, excluded...)
+	if len(evacuated) > 0 {
+		r.excludeEvacuated(j, evacuated)
+	}
 	r.Meter.Add(dragonflypass.CountPermitReturned, 1)
 	r.Permits.Release(permit, dragonflypass.PermitRelease{
 		Stream: permit.Stream, Server: permit.Server, Outcome: dragonflypass.OutcomeRefused, Leaving: permitServers(permit, r.Excluder.Leaving),
@@ -43,6 +48,28 @@
 	return true
 }
 
+// excludeEvacuated counts a permit whose servers, as far as they are given, are in evacuated zones. The next permit of the
+// request is not for another server there: its owner may not have learnt of the evacuation.
+func (r *Relayer) excludeEvacuated(j *job, servers []dragonflypass.ServerID) {
+	r.Meter.Add(dragonflypass.CountPermitEvacuated, 1)
+	for _, id := range slices.Concat(servers, r.Evacuator.EvacuatedServers(j.service)) {
+		if !slices.Contains(j.excluded, id) {
+			j.excluded = append(j.excluded, id)
+		}
+	}
+}
+
+// checkEvacuated returns errEvacuated, and excludes the servers in evacuated zones from further attempts, if a server of the
+// permit is in one. The zone may have been evacuated since the permit was granted.
+func (r *Relayer) checkEvacuated(j *job, permit dragonflypass.Permit) error {
+	evacuated := permitServers(permit, r.Evacuator.ServerEvacuated)
+	if len(evacuated) == 0 {
+		return nil
+	}
+	r.excludeEvacuated(j, evacuated)
+	return errEvacuated
+}
+
 // permitServers returns the servers of the permit, helpers included, that match.
 func permitServers(permit dragonflypass.Permit, matches func(dragonflypass.ServerID, netip.AddrPort) bool) []dragonflypass.ServerID {
 	var servers []dragonflypass.ServerID
--- a/core/relayer/relayer.go
+++ b/core/relayer/relayer.go
@@ -12,6 +12,7 @@
 	"github.com/dragonflypass/dragonflypass"
 	"github.com/dragonflypass/dragonflypass/core/assessor"
 	"github.com/dragonflypass/dragonflypass/core/balancer"
+	"github.com/dragonflypass/dragonflypass/core/evacuator"
 	"github.com/dragonflypass/dragonflypass/core/excluder"
 	"github.com/dragonflypass/dragonflypass/core/locker"
 	"github.com/dragonflypass/dragonflypass/core/prober"
@@ -29,6 +30,8 @@
 	errStalled = eris.New("relayer: the stream has stalled")
 	// errServerUnreachable cancels a stream whose server is unreachable.
 	errServerUnreachable = eris.New("relayer: the server of the stream is unreachable")
+	// errEvacuated ends an attempt that has sent nothing to its server because the zone of one of its servers is evacuated.
+	errEvacuated = eris.New("relayer: the zone of the server is evacuated")
 	// errLeaving cancels an exchange that has not ended when the VM shuts down.
 	errLeaving = eris.New("relayer: the VM is leaving")
 )
@@ -90,6 +93,7 @@
 	Prober      *prober.Prober
 	Assessor    *assessor.Assessor
 	Excluder    *excluder.Excluder
+	Evacuator   *evacuator.Evacuator
 	Budgets     *retrier.Budgets
 	Quarantiner *quarantiner.Quarantiner
 	Crashes     Crashes
--- a/core/relayer/succession.go
+++ b/core/relayer/succession.go
@@ -96,7 +96,7 @@
 			if successor != nil {
 				return successor
 			}
-			if !errors.Is(err, dragonflypass.ErrUnavailable) {
+			if !nothingSent(err) {
 				break
 			}
 		}
--- a/core/reserver/reserver.go
+++ b/core/reserver/reserver.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"net/netip"
 	"slices"
 	"time"
 
@@ -41,6 +42,8 @@
 	Logger  dragonflypass.Logger
 	// Excluder names the servers at which no new reservation may be made.
 	Excluder *excluder.Excluder
+	// Evacuated reports whether the server is in an evacuated zone, where no new reservation may be made either.
+	Evacuated func(id dragonflypass.ServerID, address netip.AddrPort) bool
 }
 
 // errExcluded is the error of a reservation at a server that expects no new requests.
@@ -78,16 +81,21 @@
 
 // reserveNew makes a reservation that is not in use yet, unless its server expects no new requests or says so now.
 func (r *Reserver) reserveNew(ctx context.Context, res *reservation) error {
-	if r.Excluder.Excluded(res.helper.Server, res.helper.Address) {
+	if r.excluded(res.helper) {
 		return errExcluded
 	}
 	err := r.reserve(ctx, res)
-	if err == nil && r.Excluder.Excluded(res.helper.Server, res.helper.Address) {
+	if err == nil && r.excluded(res.helper) {
 		return errExcluded
 	}
 	return err
 }
 
+// excluded reports whether the helper may receive no new reservation.
+func (r *Reserver) excluded(helper dragonflypass.Helper) bool {
+	return r.Excluder.Excluded(helper.Server, helper.Address) || r.Evacuated(helper.Server, helper.Address)
+}
+
 func (r *Reserver) reserve(ctx context.Context, res *reservation) error {
 	ctx, cancel := r.Timer.WithDeadline(ctx, r.Timer.Now().Add(callTimeout))
 	defer cancel()
--- a/core/reserver/reserver_test.go
+++ b/core/reserver/reserver_test.go
@@ -72,7 +72,7 @@
 				server := &lateServer{delays: []time.Duration{0, test.delay}}
 				x := excluder.New()
 				x.Timer, x.Servers, x.Meter, x.Logger = clock, registrar.New(), meter, fake.Logger{}
-				r := &reserver.Reserver{Timer: clock, Pool: pool, Backend: server, Meter: meter, Logger: fake.Logger{}, Excluder: x}
+				r := &reserver.Reserver{Timer: clock, Pool: pool, Backend: server, Meter: meter, Logger: fake.Logger{}, Excluder: x, Evacuated: func(dragonflypass.ServerID, netip.AddrPort) bool { return false }}
 				prefilled := func() bool { return true }
 				free, _, err := r.Reserve(ctx, []dragonflypass.Helper{{Reservation: "large", Tokens: 9000}}, prefilled, func() {})
 				c.Assert(err, qt.IsNil)
--- a/core/sharder/sharder.go
+++ b/core/sharder/sharder.go
@@ -38,6 +38,8 @@
 	Timer dragonflypass.Timer
 	// Servers returns the ready servers of the service.
 	Servers func(service dragonflypass.ServiceID) []dragonflypass.ServerEntry
+	// Evacuated reports whether the servers of the zone must receive no new requests.
+	Evacuated func(zone dragonflypass.AvailabilityZone) bool
 
 	mutex locker.Mutex
 	loads map[dragonflypass.Shard]*remoteLoad
@@ -54,7 +56,8 @@
 // New returns a sharder without load summaries.
 func New() *Sharder {
 	return &Sharder{
-		mutex: locker.Mutex{Order: locker.Loads}, loads: make(map[dragonflypass.Shard]*remoteLoad), layouts: make(map[dragonflypass.ServiceID]*layout),
+		Evacuated: func(dragonflypass.AvailabilityZone) bool { return false },
+		mutex:     locker.Mutex{Order: locker.Loads}, loads: make(map[dragonflypass.Shard]*remoteLoad), layouts: make(map[dragonflypass.ServiceID]*layout),
 	}
 }
 
@@ -72,9 +75,20 @@
 }
 
 // PartsToAsk returns a random shard of this VM's zone and one of each other zone. Each zone has another one next, to which
-// its requests go if its own owner fails.
+// its requests go if its own owner fails. Evacuated zones are left out, unless all are evacuated; if the own zone is, the
+// first one is chosen at random by the number of servers, so that no other zone takes all of its requests.
 func (s *Sharder) PartsToAsk(service dragonflypass.ServiceID) []dragonflypass.ShardPart {
-	parts := s.Parts(service)
+	l := s.layout(service)
+	parts := l.parts
+	first := s.Zone
+	if slices.ContainsFunc(parts, s.partEvacuated) {
+		parts = slices.DeleteFunc(slices.Clone(parts), s.partEvacuated)
+		if len(parts) == 0 {
+			parts = l.parts
+		} else if s.Evacuated(s.Zone) {
+			first = l.randomZone(parts)
+		}
+	}
 	var before, after []dragonflypass.ShardPart
 	for start := 0; start < len(parts); {
 		end := start
@@ -82,7 +96,7 @@
 			end++
 		}
 		chosen := parts[start+rand.IntN(end-start)]
-		if chosen.Zone < s.Zone {
+		if chosen.Zone < first {
 			before = append(before, chosen)
 		} else {
 			after = append(after, chosen)
@@ -92,6 +106,24 @@
 	return append(after, before...)
 }
 
+// partEvacuated reports whether the zone of the part is evacuated.
+func (s *Sharder) partEvacuated(part dragonflypass.ShardPart) bool { return s.Evacuated(part.Zone) }
+
+// randomZone returns the zone of one of the parts. Each server of the parts has the same probability of being in it.
+func (l *layout) randomZone(parts []dragonflypass.ShardPart) dragonflypass.AvailabilityZone {
+	total := 0
+	for _, part := range parts {
+		total += len(l.servers[part])
+	}
+	draw := rand.IntN(max(1, total))
+	for _, part := range parts {
+		if draw -= len(l.servers[part]); draw < 0 {
+			return part.Zone
+		}
+	}
+	return parts[0].Zone
+}
+
 // ShardServers returns the ready servers of the shard. The caller must not change the slice.
 func (s *Sharder) ShardServers(shard dragonflypass.Shard) []dragonflypass.ServerEntry {
 	return s.layout(shard.Service).servers[shard.Part]
@@ -223,13 +255,13 @@
 	l.Backlog += prefillTime
 }
 
-// leastLoaded returns the other shard of the service with the lowest load, nil if there is none with a recent summary and
-// with servers. It is called with the mutex held.
+// leastLoaded returns the other shard of the service with the lowest load, nil if there is none with a recent summary,
+// with servers and in a zone that is not evacuated. It is called with the mutex held.
 func (s *Sharder) leastLoaded(own dragonflypass.Shard, short bool) *remoteLoad {
 	now := s.Timer.Now()
 	var best *remoteLoad
 	for shard, load := range s.loads {
-		if shard.Service != own.Service || shard == own || shard.Part.IsWhole() || load.Servers == 0 || now.Sub(load.receivedAt) > maxLoadAge {
+		if shard.Service != own.Service || shard == own || shard.Part.IsWhole() || load.Servers == 0 || s.Evacuated(shard.Part.Zone) || now.Sub(load.receivedAt) > maxLoadAge {
 			continue
 		}
 		if best == nil || load.lower(best, short) {
--- a/core/sharder/sharder_test.go
+++ b/core/sharder/sharder_test.go
@@ -84,3 +84,26 @@
 	c.Check(ok, qt.IsTrue)
 	c.Check(part, qt.Equals, dragonflypass.ShardPart{Zone: "a"})
 }
+
+// TestEvacuatedZonesAreNotAsked guards against requests that are sent or moved to shards which take none, whose low load makes
+// them look best.
+func TestEvacuatedZonesAreNotAsked(t *testing.T) {
+	c := qt.New(t)
+	s, _ := newSharder(60)
+	evacuated := map[dragonflypass.AvailabilityZone]bool{"a": true}
+	s.Evacuated = func(zone dragonflypass.AvailabilityZone) bool { return evacuated[zone] }
+	c.Check(s.PartsToAsk("m"), qt.DeepEquals, []dragonflypass.ShardPart{{Zone: "b"}, {Zone: "c"}})
+	s.RecordLoads([]dragonflypass.ShardLoad{load("a", 0, 0), load("c", 80, 0)})
+	part, ok := s.Move(load("b", 190, 0), true, 10*time.Millisecond)
+	c.Check(ok && part.Zone == "c", qt.IsTrue, qt.Commentf("%v %t", part, ok))
+	evacuated["a"], evacuated["b"] = false, true
+	first := make(map[dragonflypass.AvailabilityZone]int)
+	for range 200 {
+		first[s.PartsToAsk("m")[0].Zone]++
+	}
+	c.Check(first["a"] > 50 && first["c"] > 50 && first["a"]+first["c"] == 200, qt.IsTrue, qt.Commentf("%v", first))
+	evacuated["a"], evacuated["c"] = true, true
+	c.Check(s.PartsToAsk("m"), qt.HasLen, 3)
+	_, ok = s.MoveAway(dragonflypass.Shard{Service: "m", Part: dragonflypass.ShardPart{Zone: "b"}}, true, time.Millisecond)
+	c.Check(ok, qt.IsFalse)
+}
--- a/internal/fake/relaysite.go
+++ b/internal/fake/relaysite.go
@@ -139,6 +139,16 @@
 	s.Store.Put(dragonflypass.TopicRouting, dragonflypass.Update{Key: "routing", Table: table})
 }
 
+// Evacuate writes the record that asks for the evacuation of the zone.
+func (s *RelaySite) Evacuate(zone dragonflypass.AvailabilityZone) {
+	s.Store.Put(dragonflypass.TopicRouting, dragonflypass.Update{Key: "evacuation of " + string(zone), EvacuatedZone: zone})
+}
+
+// Revoke removes the record that asks for the evacuation of the zone.
+func (s *RelaySite) Revoke(zone dragonflypass.AvailabilityZone) {
+	s.Store.Put(dragonflypass.TopicRouting, dragonflypass.Update{Key: "evacuation of " + string(zone)})
+}
+
 // Start writes the registry and the routing, starts the entry VMs and waits until they are ready.
 func (s *RelaySite) Start() {
 	s.WriteRouting([]string{RelayKey})
--- a/internal/fake/store.go
+++ b/internal/fake/store.go
@@ -75,7 +75,7 @@
 	}
 	update.Offset = s.endOffsets[topic]
 	s.endOffsets[topic]++
-	if update.Table != nil || update.Server != nil || update.Member != nil || update.Err != nil {
+	if update.Table != nil || update.EvacuatedZone != "" || update.Server != nil || update.Member != nil || update.Err != nil {
 		update.Raw = []byte(string(topic) + " " + strconv.FormatUint(uint64(update.Offset), 10))
 		s.recordsByRaw[string(update.Raw)] = update
 	}
--- a/metrics.go
+++ b/metrics.go
@@ -57,11 +57,15 @@
 	CountServerLeaving     Counter = "servers_leaving"
 	CountServerDeferred    Counter = "servers_deferred"
 	CountPermitReturned    Counter = "permits_returned"
-	CountStoreCalls        Counter = "store_calls"
-	CountStoreFailed       Counter = "store_calls_failed"
-	CountRecordUnreadable  Counter = "records_unreadable"
-	CountServerDials       Counter = "server_connections_made"
-	CountForeignResponses  Counter = "foreign_answers_dropped"
+	// CountPermitEvacuated counts the permits returned because a zone is evacuated, and CountRequestEvacuated the queued
+	// requests that were moved to another shard for that reason.
+	CountPermitEvacuated  Counter = "permits_evacuated"
+	CountRequestEvacuated Counter = "requests_evacuated"
+	CountStoreCalls       Counter = "store_calls"
+	CountStoreFailed      Counter = "store_calls_failed"
+	CountRecordUnreadable Counter = "records_unreadable"
+	CountServerDials      Counter = "server_connections_made"
+	CountForeignResponses Counter = "foreign_answers_dropped"
 	// CountInvalid counts the requests that were refused while they were read, and CountRefusalUnwritten the refusals that
 	// could not be written to their callers.
 	CountInvalid          Counter = "requests_invalid"
--- a/registry.go
+++ b/registry.go
@@ -40,7 +40,7 @@
 
 // The topics that the system reads or writes.
 const (
-	// TopicRouting holds the operators' route table under one key.
+	// TopicRouting holds the operators' route table under one key, and a record for each evacuated zone.
 	TopicRouting Topic = "routing"
 	// TopicServers holds the registry of backend servers, each under its identifier.
 	TopicServers Topic = "servers"
@@ -48,15 +48,17 @@
 	TopicMembers Topic = "members"
 )
 
-// Update is the latest record of a key; at most one of Table, Server and Member is set.
+// Update is the latest record of a key; at most one of Table, EvacuatedZone, Server and Member is set.
 type Update struct {
 	Key    string
 	Offset Offset
 	// Raw is the record as stored, empty if the key was deleted.
-	Raw    []byte
-	Table  *RouteTable
-	Server *ServerEntry
-	Member *VM
+	Raw   []byte
+	Table *RouteTable
+	// EvacuatedZone is the zone whose servers must receive no new work while the record exists.
+	EvacuatedZone AvailabilityZone
+	Server        *ServerEntry
+	Member        *VM
 	// Err is the error from decoding the record, nil if it was decoded or the key was deleted.
 	Err error
 }
