Weigh delayed streams by the length of the prompt, and give long prompts up later

Cause: a long prompt that had to start was kept waiting rather than delay one short stream, although its caller loses several times as much. Change: arbiter.DelayCost; a stream counts as stalled at twice its predicted time to the first token at the earliest.

--- a/core/allocator/place.go
+++ b/core/allocator/place.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/dragonflypass/dragonflypass"
+	"github.com/dragonflypass/dragonflypass/core/arbiter"
 	"github.com/dragonflypass/dragonflypass/core/predictor"
 )
 
@@ -132,7 +133,7 @@
 	if !candidate.firstToken.After(q.request.FirstTokenDeadline) {
 		value = 1
 	}
-	return value - (1-lateValue)*candidate.delayedStreams
+	return value - (1-lateValue)*arbiter.DelayCost(q.request.PromptTokens)*candidate.delayedStreams
 }
 
 // usableServers returns the servers that may process the request. The mutex must be held.
--- a/core/arbiter/arbiter.go
+++ b/core/arbiter/arbiter.go
@@ -166,6 +166,19 @@
 	return worst
 }
 
+// fullDelayCost is the length in tokens of a prompt whose caller loses as much as that of a delayed short stream if the
+// prompt is late.
+const fullDelayCost = 70_000
+
+// DelayCost returns what the delay of one stream of a short prompt costs, relative to the loss of the caller of a prompt with
+// the given length if that prompt is late.
+//
+// Long prompts beside streams of short ones: at a fixed price for a delayed stream, a prompt of 190,000 tokens that had to
+// start was kept waiting for a server without streams, and its caller lost several times as much.
+func DelayCost(promptTokens int) float64 {
+	return min(1, fullDelayCost/float64(max(1, promptTokens)))
+}
+
 // Hopeless reports whether a late short prompt behind the given number of other ones cannot start before it expires.
 //
 // After the peak of a burst: callers that leave after waiting in vain return at once, while those that are rejected
--- a/core/arbiter/arbiter_test.go
+++ b/core/arbiter/arbiter_test.go
@@ -76,3 +76,12 @@
 		c.Check(retryAfter > time.Second && retryAfter <= 3*time.Second, qt.IsTrue, qt.Commentf("%s", retryAfter))
 	}
 }
+
+// TestLongPromptsOutweighDelayedStreams guards against long prompts that wait although they would delay a few streams only.
+func TestLongPromptsOutweighDelayedStreams(t *testing.T) {
+	c := qt.New(t)
+	c.Check(arbiter.DelayCost(5_000), qt.Equals, 1.0)
+	c.Check(arbiter.DelayCost(0), qt.Equals, 1.0)
+	c.Check(arbiter.DelayCost(190_000) < 0.5, qt.IsTrue)
+	c.Check(arbiter.DelayCost(600_000) < arbiter.DelayCost(190_000), qt.IsTrue)
+}
--- a/core/relayer/open.go
+++ b/core/relayer/open.go
@@ -111,7 +111,8 @@
 	}
 	open.lastEventID.Store(j.resumeFrom())
 	// The owner may schedule more urgent prompts first, as long as this stream meets its objective.
-	stallsAt := r.Timer.Now().Add(permit.TimeToFirstToken + max(firstEventGrace, j.route.LatencyObjective/2))
+	// A prompt that has been processed for seconds is not given up as soon as a short one: its work would be lost.
+	stallsAt := r.Timer.Now().Add(permit.TimeToFirstToken + max(firstEventGrace, j.route.LatencyObjective/2, permit.TimeToFirstToken))
 	if objectiveLimit := j.exchange.Arrived.Add(j.route.LatencyObjective + objectiveGrace); objectiveLimit.After(stallsAt) {
 		stallsAt = objectiveLimit
 	}
