Limit the requests to servers that are warming up

Cause: a server that has started, or turned cold, tolerates cold_per_s requests a second and crashes well above that. Neither the limit nor the warm-up was read, except cold_left_ms, whose changes were ignored.

Change: core/throttler spaces the requests of a VM to such a server, so that all VMs together stay within cold_per_s times cold_overshoot plus cold_slack. Two owners at once have half each, a new owner counts the last second of its predecessor as used, a VM that grants permits in place of the owners gives such a server nothing, and plain services divide the rate by the number of VMs. The warm-up is read from the registry and from Cold-Ms of any response. equalServers reports a warm-up that begins, lasts longer or ends, if the service has a limit. Services without cold_per_s are not looked up.

--- a/adapter/assembler/relay.go
+++ b/adapter/assembler/relay.go
@@ -121,6 +121,7 @@
 		Self: settings.VM(), Incarnation: uint64(time.Now().UnixNano()), Seeds: settings.Seeds,
 		HeartbeatInterval: time.Duration(settings.Times.HeartbeatInterval), RetryRatio: settings.Budget.Ratio, RetryBurst: settings.Budget.Burst,
 		RevokeLimit: time.Duration(settings.Times.RevokeLimit), ApplyLimit: time.Duration(settings.Times.ApplyLimit),
+		ColdOvershoot: settings.Limits.ColdOvershoot, ColdSlack: settings.Limits.ColdSlack,
 		ShutdownTime: maxDrainTime(settings) - refusalTime,
 	}, composer.RelayPorts{
 		Timer: ports.Timer, Pool: ports.Pool, Store: ports.Store, Backend: ports.Backend, Meter: ports.Meter, Logger: ports.Logger,
--- a/adapter/exposer/dump.go
+++ b/adapter/exposer/dump.go
@@ -28,6 +28,8 @@
 	Owners         []Owner              `json:"owners"`
 	Registry       []RegistryEntry      `json:"registry"`
 	FailingServers []FailingServer      `json:"failing"`
+	// ColdServers are the backend servers that are warming up.
+	ColdServers []ColdServer `json:"cold"`
 	// ExcludedServers are the backend servers that expect no new requests from this VM.
 	ExcludedServers []ExcludedServer `json:"excluded"`
 	QueuedRequests  int              `json:"waiting"`
@@ -98,6 +100,12 @@
 	Since time.Time                      `json:"since"`
 }
 
+// ColdServer is a backend server that is warming up, with the end of the warm-up as far as the VM knows.
+type ColdServer struct {
+	Server dragonflypass.ServerID `json:"server"`
+	Until  time.Time              `json:"until"`
+}
+
 // ExcludedServer is a backend server that expects no new requests from this VM.
 type ExcludedServer struct {
 	Server    dragonflypass.ServerID `json:"server"`
@@ -185,6 +193,9 @@
 	for _, z := range s.EvacuatedZones {
 		d.EvacuatedZones = append(d.EvacuatedZones, EvacuatedZone(z))
 	}
+	for _, server := range s.ColdServers {
+		d.ColdServers = append(d.ColdServers, ColdServer(server))
+	}
 	for _, server := range s.ExcludedServers {
 		d.ExcludedServers = append(d.ExcludedServers, ExcludedServer(server))
 	}
--- a/adapter/exposer/exposer.go
+++ b/adapter/exposer/exposer.go
@@ -46,7 +46,7 @@
 	for _, name := range []string{"live", "suspect", "leaving", "gone"} {
 		fmt.Fprintf(w, "members{state=%q} %d\n", name, members[name])
 	}
-	fmt.Fprintf(w, "zones_evacuated %d\n", len(state.EvacuatedZones))
+	fmt.Fprintf(w, "zones_evacuated %d\nservers_cold %d\n", len(state.EvacuatedZones), len(state.ColdServers))
 	fmt.Fprintf(w, "servers_registered %d\nservers_failing %d\nservers_excluded %d\n", len(state.Registry), len(state.FailingServers), len(state.ExcludedServers))
 	for _, budget := range state.Budgets {
 		fmt.Fprintf(w, "retry_budget{service=%q} %.1f\n", budget.Service, budget.Balance)
--- a/adapter/loader/relay.go
+++ b/adapter/loader/relay.go
@@ -55,6 +55,10 @@
 	MaxBodyBytes   int64            `json:"body"`
 	HeaderTimeout  encoder.Duration `json:"header"`
 	IdleTimeout    encoder.Duration `json:"idle"`
+	// ColdOvershoot and ColdSlack extend the operators' limit on the requests to a server that is warming up: in any second, all
+	// VMs together may send it the limit times ColdOvershoot, plus ColdSlack.
+	ColdOvershoot float64 `json:"cold_overshoot"`
+	ColdSlack     float64 `json:"cold_slack"`
 }
 
 // RelayTimes are the time limits that the platform sets, and the heartbeat interval.
@@ -124,6 +128,7 @@
 	s.Limits.ProcessorShare = cmp.Or(s.Limits.ProcessorShare, 1)
 	s.Limits.ProcessorSpeed = cmp.Or(s.Limits.ProcessorSpeed, 1)
 	s.Limits.MaxBodyBytes = cmp.Or(s.Limits.MaxBodyBytes, 4<<20)
+	s.Limits.ColdOvershoot = cmp.Or(s.Limits.ColdOvershoot, 1)
 	s.Workers = cmp.Or(s.Workers, 16)
 	setDefaultDuration(&s.Limits.HeaderTimeout, 5*time.Second)
 	setDefaultDuration(&s.Limits.IdleTimeout, time.Minute)
--- a/adapter/loader/relay_test.go
+++ b/adapter/loader/relay_test.go
@@ -23,6 +23,8 @@
 	c.Check(time.Duration(settings.Times.HeartbeatInterval), qt.Equals, 300*time.Millisecond)
 	c.Check(settings.Log.Level, qt.Equals, "info")
 	c.Check(settings.Workers, qt.Equals, 16)
+	c.Check(settings.Limits.ColdOvershoot, qt.Equals, 1.0)
+	c.Check(settings.Limits.ColdSlack, qt.Equals, 0.0)
 	c.Check(settings.Listen.Metrics.IsValid(), qt.IsFalse)
 	c.Check(settings.VM().ID, qt.Equals, dragonflypass.VMID("vm-1"))
 }
@@ -36,6 +38,8 @@
 		"not a duration":    {"5000ms", "soon", "/times/revoke"},
 		"same address":      {"127.0.0.1:2", "127.0.0.1:1", "/listen"},
 		"same metrics":      {`"peers": "127.0.0.1:3"`, `"peers": "127.0.0.1:3", "metrics": "127.0.0.1:3"`, "/listen/metrics"},
+		"cold overshoot":    {`"zone": "a"`, `"zone": "a", "limits": {"cold_overshoot": 0.5}`, "/limits/cold_overshoot"},
+		"cold slack":        {`"zone": "a"`, `"zone": "a", "limits": {"cold_slack": -1}`, "/limits/cold_slack"},
 		"ratio above one":   {"0.2", "2", "/budget/ratio"},
 		"negative slack":    {"100", "-1", "/budget/slack"},
 		"null seeds":        {`"zone": "a"`, `"zone": "a", "seeds": null`, "/seeds"},
--- a/core/allocator/allocator.go
+++ b/core/allocator/allocator.go
@@ -59,6 +59,9 @@
 	RecordLeaving func(server dragonflypass.ServerEntry)
 	// Evacuated reports whether the servers of the zone must receive no new requests. Their running streams stay accounted for.
 	Evacuated func(zone dragonflypass.AvailabilityZone) bool
+	// Throttle limits the permits for servers that are warming up, and OwnerCandidate reports whether this VM may own the shard.
+	Throttle       Throttle
+	OwnerCandidate func(shard dragonflypass.Shard) bool
 	// Balancer moves requests to other shards; nil if each service has a single one.
 	Balancer Balancer
 
@@ -112,6 +115,8 @@
 		Leaving:        func(dragonflypass.ServerEntry) bool { return false },
 		RecordLeaving:  func(dragonflypass.ServerEntry) {},
 		Evacuated:      func(dragonflypass.AvailabilityZone) bool { return false },
+		OwnerCandidate: func(dragonflypass.Shard) bool { return true },
+		Throttle:       noThrottle{},
 		mutex:          locker.Mutex{Order: locker.Servers},
 		clusters:       make(map[dragonflypass.Shard]*cluster),
 		permits:        make(map[dragonflypass.StreamID]*permit),
@@ -149,7 +154,7 @@
 
 // RequestPermit queues a request for a permit; done is called once unless withdraw is called before.
 func (a *Allocator) RequestPermit(request dragonflypass.PermitRequest, done func(dragonflypass.Permit, error)) (withdraw func()) {
-	now := a.Timer.Now()
+	now, ownerCandidate := a.Timer.Now(), a.OwnerCandidate(request.Shard())
 	q := &queuedRequest{request: request, queuedAt: now, done: done}
 	a.mutex.Lock()
 	c := a.cluster(request.Shard())
@@ -161,9 +166,9 @@
 	}
 	if now.Sub(c.lastRequest) > ownerIdleTime {
 		// This VM has not acted as the owner recently, so it may not know all open streams yet.
-		c.longGrantsFrom = now.Add(takeoverDelay)
+		c.longGrantsFrom, c.ownerSince = now.Add(takeoverDelay), now
 	}
-	c.lastRequest = now
+	c.lastRequest, c.ownerCandidate = now, ownerCandidate
 	q.prefillTime = c.costModel.PrefillTime(request.PromptTokens)
 	if refusal := a.moveToOtherShard(c, q, now); refusal != nil {
 		a.mutex.Unlock()
@@ -314,9 +319,7 @@
 		results = append(results, a.dispatch(c, now)...)
 	}
 	a.mutex.Unlock()
-	for _, m := range moved {
-		m.queued.done(m.permit, m.err)
-	}
+	redirect(moved)
 	a.notify(results)
 }
 
--- a/core/allocator/balance.go
+++ b/core/allocator/balance.go
@@ -57,6 +57,13 @@
 	return moved
 }
 
+// redirect passes the refusals to the callbacks of the moved requests; no lock may be held.
+func redirect(moved []permitResult) {
+	for _, m := range moved {
+		m.queued.done(m.permit, m.err)
+	}
+}
+
 // ShardLoads returns the load summaries of the shards for which this VM has recently been asked for permits, or of those
 // given if it owns them.
 func (a *Allocator) ShardLoads(owned []dragonflypass.Shard) []dragonflypass.ShardLoad {
--- a/core/allocator/cluster.go
+++ b/core/allocator/cluster.go
@@ -74,6 +74,9 @@
 	// lastRequest is the time of the last permit request. No long prompt is granted a permit before longGrantsFrom.
 	lastRequest    time.Time
 	longGrantsFrom time.Time
+	// ownerSince is the time from which this VM has acted as the owner, and ownerCandidate is set if it may own the shard.
+	ownerSince     time.Time
+	ownerCandidate bool
 
 	// options is a buffer that is reused to avoid allocations.
 	options []option
@@ -90,6 +93,8 @@
 	// reservedTokens is the memory that permits reserve, in tokens.
 	reservedTokens int
 	streams        int
+	// throttled is set if the server may receive no request now because it is warming up.
+	throttled bool
 	// pending are the permits whose prompts the server still has to process, in whole or in part.
 	pending []*permit
 }
--- a/core/allocator/place.go
+++ b/core/allocator/place.go
@@ -113,6 +113,7 @@
 		s.engine.Advance(arrival)
 		s.backlog = s.engine.Backlog(arrival)
 	}
+	a.updateThrottled(c, now)
 	c.resize(now)
 	c.sortQueue(now)
 	longAttempts := longAttemptsPerDispatch
@@ -291,6 +292,9 @@
 	options := c.options[:0]
 	startDue := short || c.startDue(q, now)
 	for _, s := range usable {
+		if s.throttled {
+			continue
+		}
 		o := c.evaluate(q, s, parts, short, now)
 		// A long prompt waits in the queue here, not at a server, so that the order can still change.
 		if startDue || o.wait <= maxServerWait {
@@ -399,6 +403,7 @@
 	}
 	a.addPermit(p)
 	a.addToServers(p, now.Add(transitTime))
+	a.recordThrottled(p)
 	for _, s := range p.servers() {
 		a.Assessor.RecordSelection(s.entry.ID)
 	}
--- a/core/assessor/assessor.go
+++ b/core/assessor/assessor.go
@@ -46,6 +46,8 @@
 	Timer  dragonflypass.Timer
 	Meter  dragonflypass.Meter
 	Logger dragonflypass.Logger
+	// Reached is called with a server that is reachable again, with no lock held.
+	Reached func(id dragonflypass.ServerID)
 
 	mutex   locker.Mutex
 	servers map[dragonflypass.ServerID]*serverRecord
@@ -67,7 +69,10 @@
 
 // New returns an assessor that considers all servers healthy.
 func New() *Assessor {
-	return &Assessor{mutex: locker.Mutex{Order: locker.Suspects}, servers: make(map[dragonflypass.ServerID]*serverRecord)}
+	return &Assessor{
+		Reached: func(dragonflypass.ServerID) {},
+		mutex:   locker.Mutex{Order: locker.Suspects}, servers: make(map[dragonflypass.ServerID]*serverRecord),
+	}
 }
 
 // Healthy reports whether the server may receive requests: it is reachable, not ejected, and no trial request is
@@ -113,6 +118,9 @@
 		r.unreachable, r.unreachableSince = !reachable, now
 	}
 	a.mutex.Unlock()
+	if changed && reachable {
+		a.Reached(id)
+	}
 	if changed {
 		a.Logger.Info("backend server probed", "server", id, "reached", reachable)
 	}
--- a/core/balancer/balancer.go
+++ b/core/balancer/balancer.go
@@ -9,6 +9,7 @@
 	"github.com/dragonflypass/dragonflypass/core/assessor"
 	"github.com/dragonflypass/dragonflypass/core/excluder"
 	"github.com/dragonflypass/dragonflypass/core/locker"
+	"github.com/dragonflypass/dragonflypass/core/throttler"
 )
 
 const (
@@ -32,8 +33,11 @@
 type Balancer struct {
 	Zone     dragonflypass.AvailabilityZone
 	Timer    dragonflypass.Timer
+	Meter    dragonflypass.Meter
 	Assessor *assessor.Assessor
 	Excluder *excluder.Excluder
+	// Throttler limits the requests to servers that are warming up.
+	Throttler *throttler.Throttler
 	// Evacuated reports whether the servers of the zone must receive no new requests.
 	Evacuated func(zone dragonflypass.AvailabilityZone) bool
 
@@ -62,23 +66,33 @@
 }
 
 // Pick selects the server with the lowest cost and counts the request as in flight there; ok is false if all
-// servers are excluded, expect no new requests or are in evacuated zones.
+// servers are excluded, expect no new requests or are in evacuated zones, or may receive no request yet
+// because they are warming up.
 func (b *Balancer) Pick(entries []dragonflypass.ServerEntry, excluded []dragonflypass.ServerID) (best dragonflypass.ServerEntry, ok bool) {
 	now := b.Timer.Now()
 	b.mutex.Lock()
 	defer b.mutex.Unlock()
 	var lowestCost float64
+	throttled := false
 	for i := range entries {
 		if b.Evacuated(entries[i].Zone) || slices.Contains(excluded, entries[i].ID) || b.Excluder.Excluded(entries[i].ID, entries[i].Address) {
 			continue
 		}
+		if !b.Throttler.MayPick(entries[i]) {
+			throttled = true
+			continue
+		}
 		if cost := b.cost(&entries[i], now); !ok || cost < lowestCost {
 			best, lowestCost, ok = entries[i], cost, true
 		}
 	}
 	if !ok {
+		if throttled {
+			b.Meter.Add(dragonflypass.CountRequestThrottled, 1)
+		}
 		return best, false
 	}
+	b.Throttler.RecordSent(best)
 	s := b.loadOf(best.ID)
 	s.inFlight++
 	s.pickedAt = now
--- a/core/composer/relay.go
+++ b/core/composer/relay.go
@@ -28,6 +28,7 @@
 	"github.com/dragonflypass/dragonflypass/core/retrier"
 	"github.com/dragonflypass/dragonflypass/core/router"
 	"github.com/dragonflypass/dragonflypass/core/sharder"
+	"github.com/dragonflypass/dragonflypass/core/throttler"
 )
 
 // RelayPorts holds the implementations of the interfaces through which a relay node reaches everything outside of it.
@@ -57,6 +58,9 @@
 	// retries allowed in a time window. Both apply to all VMs together.
 	RetryRatio float64
 	RetryBurst float64
+	// ColdOvershoot and ColdSlack extend the limit on requests to servers that are warming up, see throttler.Throttler.
+	ColdOvershoot float64
+	ColdSlack     float64
 	// ApplyLimit is the time within which a new route table must be in effect.
 	ApplyLimit time.Duration
 	// ShutdownTime is the time from the start of a shutdown until the requests that have not ended are refused, zero if there is
@@ -76,6 +80,7 @@
 	Assessor    *assessor.Assessor
 	Excluder    *excluder.Excluder
 	Evacuator   *evacuator.Evacuator
+	Throttler   *throttler.Throttler
 	Prober      *prober.Prober
 	Balancer    *balancer.Balancer
 	Allocator   *allocator.Allocator
@@ -149,6 +154,7 @@
 	n.composeServers()
 	n.composeRelayer()
 	n.connectEvacuator()
+	n.connectThrottler()
 	n.Detector.Subscribe(n.notifyNewOwners)
 	return n
 }
@@ -193,7 +199,7 @@
 		policy.StalenessLimit = o.RevokeLimit - routingReadTime
 		return policy
 	}
-	n.Registry = n.newFollower(dragonflypass.TopicServers, dragonflypass.JobRegistry, equalServers)
+	n.Registry = n.newFollower(dragonflypass.TopicServers, dragonflypass.JobRegistry, n.equalServers)
 	n.Registry.PollInterval = registryPollInterval
 	n.Registry.PollPolicy = func() follower.PollPolicy { return n.pollPolicy(0, 0, registryMaxStaleness) }
 
@@ -205,6 +211,7 @@
 	g.Timer, g.Logger, g.StoreRecoveredAt = p.Timer, p.Logger, n.Registry.StoreRecoveredAt
 	n.Registrar = g
 	n.composeEvacuator()
+	n.composeThrottler()
 	for f, apply := range map[*follower.Follower]func([]dragonflypass.Update){n.Routing: r.ApplyUpdates, n.Registry: g.ApplyUpdates} {
 		f.Subscribe(apply)
 		f.Changed = n.forwardChange
@@ -414,16 +421,6 @@
 	return slices.Contains(n.readers(topic), n.Options.Self.ID)
 }
 
-// equalServers reports whether two entries are equal, ignoring the remaining warm-up time of the server.
-func equalServers(older, newer dragonflypass.Update) bool {
-	if older.Server == nil || newer.Server == nil {
-		return false
-	}
-	a, b := *older.Server, *newer.Server
-	a.WarmupTime, b.WarmupTime = 0, 0
-	return a == b
-}
-
 // costModel returns the cost model of the service's engines, or nil if the service has none.
 func (n *Relay) costModel(service dragonflypass.ServiceID) *dragonflypass.EngineCostModel {
 	table := n.Router.Current()
@@ -436,7 +433,7 @@
 // Run runs the components until ctx ends. The pool and the timer must be running already.
 func (n *Relay) Run(ctx context.Context) {
 	var wg sync.WaitGroup
-	for _, run := range []func(context.Context){n.Detector.Run, n.Routing.Run, n.Registry.Run, n.Registrar.Run, n.Allocator.Run, n.Excluder.Run, n.Prober.Run, n.Quarantiner.Run, n.Relayer.Run} {
+	for _, run := range []func(context.Context){n.Detector.Run, n.Routing.Run, n.Registry.Run, n.Registrar.Run, n.Allocator.Run, n.Excluder.Run, n.Throttler.Run, n.Prober.Run, n.Quarantiner.Run, n.Relayer.Run} {
 		wg.Go(func() { run(ctx) })
 	}
 	wg.Wait()
--- a/core/composer/state.go
+++ b/core/composer/state.go
@@ -13,6 +13,7 @@
 	"github.com/dragonflypass/dragonflypass/core/quarantiner"
 	"github.com/dragonflypass/dragonflypass/core/relayer"
 	"github.com/dragonflypass/dragonflypass/core/retrier"
+	"github.com/dragonflypass/dragonflypass/core/throttler"
 )
 
 // RelayState is a snapshot of the state of a relay node, for dumps.
@@ -35,6 +36,8 @@
 	FailingServers []assessor.ServerHealth
 	// EvacuatedZones are the zones whose servers receive no new work.
 	EvacuatedZones []evacuator.Zone
+	// ColdServers are the servers that are warming up, and receive a limited number of requests.
+	ColdServers []throttler.ServerState
 	// ExcludedServers are the servers that expect no new requests from this VM.
 	ExcludedServers []excluder.ServerState
 	// Servers are the model servers that this VM owns, and QueuedRequests is the number of permit requests queued for them.
@@ -71,7 +74,7 @@
 func (n *Relay) State() RelayState {
 	s := RelayState{
 		Self: n.Options.Self, Incarnation: n.Options.Incarnation, At: n.Ports.Timer.Now(), Ready: n.Ready(), Leaving: n.Detector.Leaving(),
-		Members: n.Detector.Others(), ZoneSizes: n.Detector.ZoneSizes(), Hubs: n.Detector.Hubs(), Registry: n.Registrar.All(), FailingServers: n.Assessor.FailingServers(), ExcludedServers: n.Excluder.State(), EvacuatedZones: n.Evacuator.Zones(), Streams: n.Relayer.State(),
+		Members: n.Detector.Others(), ZoneSizes: n.Detector.ZoneSizes(), Hubs: n.Detector.Hubs(), Registry: n.Registrar.All(), FailingServers: n.Assessor.FailingServers(), ExcludedServers: n.Excluder.State(), EvacuatedZones: n.Evacuator.Zones(), ColdServers: n.Throttler.State(), Streams: n.Relayer.State(),
 		Budgets: n.Budgets.State(), Suspects: n.Quarantiner.Suspects(), SuspectParts: n.Quarantiner.SuspectParts(),
 	}
 	slices.SortFunc(s.Registry, func(x, y dragonflypass.ServerEntry) int { return cmp.Compare(x.ID, y.ID) })
--- a/core/excluder/excluder.go
+++ b/core/excluder/excluder.go
@@ -48,6 +48,8 @@
 	Servers Servers
 	Meter   dragonflypass.Meter
 	Logger  dragonflypass.Logger
+	// WarmupReported is called with the remaining warm-up time that an instance has stated, with no lock held.
+	WarmupReported func(instance Instance, left time.Duration)
 
 	mutex   locker.Mutex
 	records map[dragonflypass.ServerID]*record
@@ -68,7 +70,10 @@
 
 // New returns an excluder without notices.
 func New() *Excluder {
-	return &Excluder{mutex: locker.Mutex{Order: locker.Suspects}, records: make(map[dragonflypass.ServerID]*record)}
+	return &Excluder{
+		WarmupReported: func(Instance, time.Duration) {},
+		mutex:          locker.Mutex{Order: locker.Suspects}, records: make(map[dragonflypass.ServerID]*record),
+	}
 }
 
 // Run removes obsolete notices periodically until ctx ends.
@@ -99,6 +104,9 @@
 
 // Record records the notice of the instance.
 func (e *Excluder) Record(instance Instance, notice dragonflypass.ServerNotice) {
+	if notice.WarmupTime > 0 {
+		e.WarmupReported(instance, notice.WarmupTime)
+	}
 	if !notice.Leaving && notice.RetryAfter <= 0 {
 		return
 	}
--- a/core/follower/follower.go
+++ b/core/follower/follower.go
@@ -223,6 +223,9 @@
 // applyPage applies a page that makes the copy fresh as of the given uptime, and calls the listeners with the changes.
 // It ignores a page that ends before the copy does.
 func (f *Follower) applyPage(page dragonflypass.UpdatePage, fullSnapshot bool, freshAsOf time.Duration, source dragonflypass.VMID) {
+	for i := range page.Updates {
+		page.Updates[i].ReadAt = freshAsOf
+	}
 	f.mutex.Lock()
 	if f.loaded && page.EndOffset < f.endOffset {
 		f.mutex.Unlock()
--- a/core/relayer/notice.go
+++ b/core/relayer/notice.go
@@ -85,7 +85,8 @@
 }
 
 // retryAfter returns the retry delay given to the caller if no server was available or the servers failed: at least the
-// time until one of them wants requests again.
+// time until one of them wants requests again, or may receive one while it is warming up.
 func (r *Relayer) retryAfter(j *job) time.Duration {
-	return max(defaultRetryAfter, r.Excluder.Wait(r.Directory.Servers(j.service)))
+	servers := r.Directory.Servers(j.service)
+	return max(defaultRetryAfter, r.Excluder.Wait(servers), r.Balancer.Throttler.Wait(servers))
 }
--- a/core/reserver/reserver.go
+++ b/core/reserver/reserver.go
@@ -162,7 +162,9 @@
 	ctx, cancel := r.Timer.WithDeadline(ctx, r.Timer.Now().Add(callTimeout))
 	defer cancel()
 	for _, res := range reservations {
+		instance := r.Excluder.Instance(res.helper.Server, res.helper.Address)
 		usage, err := r.Backend.Usage(ctx, res.helper.Address)
+		r.Excluder.Record(instance, dragonflypass.ServerNotice{WarmupTime: usage.Notice.WarmupTime})
 		if err != nil {
 			return useUnknown
 		}
--- a/exchange.go
+++ b/exchange.go
@@ -100,6 +100,8 @@
 	Leaving bool
 	// RetryAfter is the time for which the server wants no requests from this VM, zero if it has not said so.
 	RetryAfter time.Duration
+	// WarmupTime is the remaining time for which the server is warming up, zero if it is not or has not said so.
+	WarmupTime time.Duration
 }
 
 // LoadReport is the load of a plain service's server at the time of a response.
--- a/internal/fake/backend.go
+++ b/internal/fake/backend.go
@@ -67,6 +67,8 @@
 	fault        BackendFault
 	faultChanged chan struct{}
 	runs         map[string]int
+	// starts are the times at which the server started to run requests.
+	starts       []time.Time
 	crashCount   int
 	reservations map[string]int
 	// reservationCount is the number of calls that reserved memory or renewed a reservation.
@@ -119,6 +121,25 @@
 	return maps.Clone(b.runs)
 }
 
+// StartsPerSecond returns the largest number of requests that the server started to run within any second since the given time,
+// and their total number.
+func (b *Backend) StartsPerSecond(since time.Time) (highest, total int) {
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+	for i, at := range b.starts {
+		if at.Before(since) {
+			continue
+		}
+		total++
+		end := i
+		for end < len(b.starts) && b.starts[end].Sub(at) <= time.Second {
+			end++
+		}
+		highest = max(highest, end-i)
+	}
+	return highest, total
+}
+
 // CrashCount returns how many times a request crashed the server.
 func (b *Backend) CrashCount() int {
 	b.mutex.Lock()
@@ -166,6 +187,7 @@
 		b.runs = make(map[string]int)
 	}
 	b.runs[id]++
+	b.starts = append(b.starts, time.Now())
 	b.running++
 }
 
--- a/internal/fake/relaysite.go
+++ b/internal/fake/relaysite.go
@@ -36,6 +36,10 @@
 	// Timeout is the timeout of the standard routes, and Objective their latency objective.
 	Timeout   time.Duration
 	Objective time.Duration
+	// WarmupRate is the number of requests per second that a server tolerates while it warms up, zero for no limit, and WarmupTime
+	// the time from its start until it has warmed up.
+	WarmupRate float64
+	WarmupTime time.Duration
 	// Options changes the options of each node before the node starts; nil leaves the defaults.
 	Options func(*composer.RelayOptions)
 
@@ -134,11 +138,20 @@
 	for _, key := range keys {
 		account.Keys = append(account.Keys, sha256.Sum256([]byte(key)))
 	}
-	services := []*dragonflypass.ServicePolicy{{ID: RelayPlainService}, {ID: RelayModelService, CostModel: RelayCostModel()}}
+	services := []*dragonflypass.ServicePolicy{
+		{ID: RelayPlainService, WarmupRate: s.WarmupRate, WarmupTime: s.WarmupTime},
+		{ID: RelayModelService, WarmupRate: s.WarmupRate, WarmupTime: s.WarmupTime, CostModel: RelayCostModel()},
+	}
 	table := dragonflypass.NewRouteTable(s.version, routes, services, []*dragonflypass.AccountPolicy{account}, dragonflypass.CallerLimits{})
 	s.Store.Put(dragonflypass.TopicRouting, dragonflypass.Update{Key: "routing", Table: table})
 }
 
+// Restart registers the server as one that has just started under the same identifier.
+func (s *RelaySite) Restart(b *Backend) {
+	b.Entry.StartedAt++
+	s.Register(b, dragonflypass.ServerReady)
+}
+
 // Evacuate writes the record that asks for the evacuation of the zone.
 func (s *RelaySite) Evacuate(zone dragonflypass.AvailabilityZone) {
 	s.Store.Put(dragonflypass.TopicRouting, dragonflypass.Update{Key: "evacuation of " + string(zone), EvacuatedZone: zone})
--- a/metrics.go
+++ b/metrics.go
@@ -61,6 +61,10 @@
 	// requests that were moved to another shard for that reason.
 	CountPermitEvacuated  Counter = "permits_evacuated"
 	CountRequestEvacuated Counter = "requests_evacuated"
+	// CountColdRequest counts the requests sent to servers that were warming up, and CountRequestThrottled those for which there
+	// was only such a server, which could not receive one yet.
+	CountColdRequest      Counter = "cold_requests"
+	CountRequestThrottled Counter = "requests_throttled"
 	CountStoreCalls       Counter = "store_calls"
 	CountStoreFailed      Counter = "store_calls_failed"
 	CountRecordUnreadable Counter = "records_unreadable"
--- a/registry.go
+++ b/registry.go
@@ -59,6 +59,8 @@
 	EvacuatedZone AvailabilityZone
 	Server        *ServerEntry
 	Member        *VM
+	// ReadAt is the uptime as of which the record was read, by this VM or another one.
+	ReadAt time.Duration
 	// Err is the error from decoding the record, nil if it was decoded or the key was deleted.
 	Err error
 }
--- a/review/standin/vm.go
+++ b/review/standin/vm.go
@@ -100,6 +100,9 @@
 	return nil
 }
 
+// section is a part of the template that is rendered only if the value that it names is present.
+var section = regexp.MustCompile(`\{\{#([a-z_.]+)\}\}(.*?)\{\{/[a-z_.]+\}\}`)
+
 // placeholder is a placeholder of the template for settings.
 var placeholder = regexp.MustCompile(`\{\{([a-z_.]+)(\|json)?\}\}`)
 
@@ -112,6 +115,13 @@
 	for name, value := range bounds {
 		values["bounds."+name] = value
 	}
+	template = section.ReplaceAllStringFunc(template, func(text string) string {
+		parts := section.FindStringSubmatch(text)
+		if values[parts[1]] == nil {
+			return ""
+		}
+		return parts[2]
+	})
 	return placeholder.ReplaceAllStringFunc(template, func(text string) string {
 		parts := placeholder.FindStringSubmatch(text)
 		if parts[2] == "" {
--- a/route.go
+++ b/route.go
@@ -78,6 +78,10 @@
 	ID ServiceID
 	// MaxConnections is the maximum number of connections that one server accepts from all callers.
 	MaxConnections int
+	// WarmupRate is the number of requests per second that a server tolerates while it warms up, zero for no limit, and
+	// WarmupTime the time from its start until it has warmed up.
+	WarmupRate float64
+	WarmupTime time.Duration
 	// CostModel is the cost model of the servers, nil for plain services.
 	CostModel *EngineCostModel
 }
