--- a/core/allocator/cluster.go
+++ b/core/allocator/cluster.go
@@ -76,6 +76,9 @@
 	// lastRequest is the time of the last permit request. No long prompt is granted a permit before longGrantsFrom.
 	lastRequest    time.Time
 	longGrantsFrom time.Time
+	// ownerSince is the time from which this VM has acted as the owner, and ownerCandidate is set if it may own the shard.
+	ownerSince     time.Time
+	ownerCandidate bool
 
 	// dispatchedAt is the time of the last dispatch, and blocked is set if it left requests queued.
 	dispatchedAt time.Time
@@ -104,6 +107,8 @@
 	streams        int
 	// healthy is the server's health at the start of the dispatch in progress.
 	healthy bool
+	// throttled is set if the server may receive no request now because it is warming up.
+	throttled bool
 	// pending are the permits whose prompts the server still has to process, in whole or in part.
 	pending []*permit
 }
--- a/core/allocator/dispatch.go
+++ b/core/allocator/dispatch.go
@@ -61,6 +61,7 @@
 		s.engine.Advance(arrival)
 		s.backlog = s.engine.Backlog(arrival)
 	}
+	a.updateThrottled(c, now)
 	c.resize(now)
 	capacity := c.arrange(now)
 	c.available = a.availableServers(c, c.available[:0])
@@ -195,9 +196,9 @@
 	return dragonflypass.Refuse(dragonflypass.ReasonBusy, arbiter.RetryAfter(limit, rand.Float64()), "the first token would come after the caller has left")
 }
 
-// hasFreeSlot reports whether one of the servers has a free slot.
+// hasFreeSlot reports whether one of the servers has a free slot and may receive a request now.
 func (c *cluster) hasFreeSlot(servers []*server) bool {
-	return slices.ContainsFunc(servers, func(s *server) bool { return s.streams < c.costModel.Slots })
+	return slices.ContainsFunc(servers, func(s *server) bool { return s.streams < c.costModel.Slots && !s.throttled })
 }
 
 // acceptable reports whether to grant the placement rather than wait for a better one.
--- a/core/allocator/place.go
+++ b/core/allocator/place.go
@@ -241,6 +241,9 @@
 func (c *cluster) evaluateAll(options []option, q *queuedRequest, usable []*server, parts int, short bool, now time.Time) []option {
 	startDue := short || c.startDue(q, now)
 	for _, s := range usable {
+		if s.throttled {
+			continue
+		}
 		o := c.evaluate(q, s, parts, short, now)
 		// A long prompt waits in the queue here, not at a server, so that the order can still change.
 		if startDue || o.wait <= maxServerWait {
@@ -337,6 +340,7 @@
 	}
 	a.addPermit(p)
 	a.addToServers(p, now.Add(transitTime))
+	a.recordThrottled(p)
 	for _, s := range p.servers() {
 		a.Assessor.RecordSelection(s.entry.ID)
 	}
