Reject late short prompts only once their rate is known

Cause: right after requests had begun to queue, the observed rate of late short prompts was near zero, so that prompts which could be served in time were refused; so were those that waited for a server that warms up. Change: the rate counts once requests have been queued for a second, corrected for the time seen so far; it is that of all short prompts while none of them can be on time; while servers warm up, prompts are refused only when they expire. The comment of TestOnlyModelServerWarmsUp says why its 30 prompts can be served.

--- a/core/allocator/cluster.go
+++ b/core/allocator/cluster.go
@@ -80,9 +80,11 @@
 	ownerSince     time.Time
 	ownerCandidate bool
 
-	// dispatchedAt is the time of the last dispatch, and blocked is set if it left requests queued.
+	// dispatchedAt is the time of the last dispatch, and blocked is set if it left requests queued; blockedSince
+	// is then the time from which all have.
 	dispatchedAt time.Time
 	blocked      bool
+	blockedSince time.Time
 	// shortGrants and lateGrants are the observed rates at which short prompts and late short prompts get permits.
 	shortGrants, lateGrants load
 	// available holds the servers that the dispatch in progress may use.
--- a/core/allocator/dispatch.go
+++ b/core/allocator/dispatch.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math"
 	"math/rand/v2"
 	"slices"
 	"time"
@@ -29,7 +30,8 @@
 	startMargin = 0.15
 	// retryShare is the share of their remaining time that callers wait at most before they return.
 	retryShare = 1.0 / 3
-	// lateHalfLife is the half-life of the observed rate of late short prompts, and minLateShare the share of the rate of all
+	// lateHalfLife is the half-life of the observed rate of late short prompts, which counts once requests have been queued
+	// for as long. minLateShare is the share of the rate of all
 	// short prompts that is assumed for them at least.
 	lateHalfLife = time.Second
 	minLateShare = 0.05
@@ -64,6 +66,10 @@
 	a.updateThrottled(c, now)
 	c.resize(now)
 	capacity := c.arrange(now)
+	if a.Throttle.Active() {
+		// Servers that warm up take more from moment to moment.
+		capacity.LateRate = 0
+	}
 	c.available = a.availableServers(c, c.available[:0])
 	left := attempts{short: shortAttemptsPerDispatch, long: longAttemptsPerDispatch}
 	lateAhead := 0
@@ -90,6 +96,9 @@
 	}
 	clear(c.queue)
 	c.queue, c.scratch = remaining, c.queue[:0]
+	if !c.blocked {
+		c.blockedSince = now
+	}
 	c.blocked = len(remaining) > 0
 	a.scheduleDispatch(c, now.Add(dispatchInterval))
 	return results
@@ -97,10 +106,7 @@
 
 // arrange puts the queued requests in the order in which they are tried, and returns the capacity that they compete for.
 func (c *cluster) arrange(now time.Time) arbiter.Capacity {
-	capacity := arbiter.Capacity{
-		LongServers: max(1, len(c.serverList)-c.shortServers),
-		LateRate:    max(c.lateGrants.rate(now), minLateShare*c.shortGrants.rate(now)),
-	}
+	capacity := arbiter.Capacity{LongServers: max(1, len(c.serverList)-c.shortServers)}
 	for _, s := range c.serverList {
 		if s.position >= c.shortServers {
 			capacity.LongBacklog += s.engine.PendingTime() / time.Duration(capacity.LongServers)
@@ -119,9 +125,24 @@
 		})
 	}
 	arbiter.Arrange(c.arranged, capacity, now)
+	capacity.LateRate = c.lateRate(now)
 	return capacity
 }
 
+// lateRate returns the rate at which late short prompts are expected to be served, zero if it is not known yet.
+func (c *cluster) lateRate(now time.Time) float64 {
+	blockedTime := now.Sub(c.blockedSince)
+	if !c.blocked || blockedTime < lateHalfLife {
+		return 0
+	}
+	// The decaying sums have only seen a part of the requests so far.
+	observed := 1 - math.Exp2(-blockedTime.Seconds()/lateHalfLife.Seconds())
+	if !slices.ContainsFunc(c.arranged, func(p arbiter.Prompt) bool { return p.Class() == arbiter.ShortOnTime }) {
+		return c.shortGrants.rate(now) / observed
+	}
+	return max(c.lateGrants.rate(now), minLateShare*c.shortGrants.rate(now)) / observed
+}
+
 // fixedValue is the part of the value of an answer that does not depend on the length of its prompt, as a multiple of the
 // value that the mean prompt has for its length.
 const fixedValue = 0.4
--- a/core/composer/warmup_test.go
+++ b/core/composer/warmup_test.go
@@ -141,6 +141,7 @@
 		s.Restart(s.ModelServers[0])
 		time.Sleep(1200 * time.Millisecond)
 		start := time.Now()
+		// The limit lets 30 requests through before the callers leave after four seconds.
 		for _, g := range sendAll(s, 30, 5*time.Millisecond, requests("cold", "/stream/x", 500)) {
 			c.Check(g.Complete(3), qt.IsTrue, qt.Commentf("%v", g.Err))
 		}
