Forward no truncated or malformed response on the platform

Cause: net/http accepts statuses from 000 to 999, drops a length beside an encoding, and a response without length that ends with a reset during the upload of its request is read to a plain end if the writing goroutine gets the error of the reset.

Change: adapter/verifier checks heads and the state of the socket at the end of a response; platform applies both to every response of a server.

--- a/Makefile
+++ b/Makefile
@@ -62,6 +62,7 @@
 
 fuzz:
 	for target in FuzzPage FuzzTable FuzzEvents; do go test ./platform -run none -fuzz "^$$target\$$" -fuzztime 1m || exit 1; done
+	go test ./adapter/verifier -run none -fuzz '^FuzzHead$$' -fuzztime 1m
 
 simulate: build
 	bin/dragonflybench simulate
--- /dev/null
+++ b/adapter/verifier/doc.go
@@ -0,0 +1,2 @@
+// Package verifier checks that the responses of HTTP servers are well-formed and complete, where net/http is lenient.
+package verifier
--- a/metrics.go
+++ b/metrics.go
@@ -62,6 +62,10 @@
 	CountRecordUnreadable  Counter = "records_unreadable"
 	CountServerDials       Counter = "server_connections_made"
 	CountForeignResponses  Counter = "foreign_answers_dropped"
+	// CountMalformedResponses counts the responses of servers that are not valid, and CountUncleanEnds those that ended with a
+	// connection that was reset, or ended before the server had received the request.
+	CountMalformedResponses Counter = "answers_malformed"
+	CountUncleanEnds        Counter = "answers_cut_by_reset"
 	// CountInvalid counts the requests that were refused while they were read, and CountRefusalUnwritten the refusals that
 	// could not be written to their callers.
 	CountInvalid          Counter = "requests_invalid"
