Return no truncated or malformed response of a plain service

Cause: as on the platform; a service's status 000 or a part of a response that ended during the upload of the call was returned as its response.

Change: the connections of the invoker check heads and ends, and a call whose response ends with the connection must have been written.

--- a/adapter/invoker/invoker.go
+++ b/adapter/invoker/invoker.go
@@ -3,7 +3,9 @@
 import (
 	"bytes"
 	"context"
+	"net"
 	"net/http"
+	"net/http/httptrace"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -11,6 +13,7 @@
 	"github.com/dragonflypass/dragonflypass"
 	"github.com/dragonflypass/dragonflypass/adapter/bounder"
 	"github.com/dragonflypass/dragonflypass/adapter/dialer"
+	"github.com/dragonflypass/dragonflypass/adapter/verifier"
 )
 
 const (
@@ -35,6 +38,7 @@
 // New returns a client of plain services.
 func New() *Invoker {
 	transport := dialer.NewTransport(dialTimeout)
+	transport.DialContext = verifyingDial(transport.DialContext)
 	// Each call uses a new connection, so no call fails because an idle connection was closed. If a call fails on an
 	// established connection, it has therefore been sent.
 	transport.DisableKeepAlives = true
@@ -46,9 +50,22 @@
 	}}
 }
 
+// verifyingDial returns a function that dials connections on which malformed and truncated responses are errors.
+func verifyingDial(dial func(context.Context, string, string) (net.Conn, error)) func(context.Context, string, string) (net.Conn, error) {
+	return func(ctx context.Context, network, address string) (net.Conn, error) {
+		conn, err := dial(ctx, network, address)
+		if err != nil {
+			return nil, err
+		}
+		return &verifier.Conn{Conn: conn}, nil
+	}
+}
+
 // Call sends a service call to the endpoint at most once. It returns ErrUnavailable or ErrRefused if the call was not
 // executed, ErrUncertain if it may have been.
 func (i *Invoker) Call(ctx context.Context, endpoint dragonflypass.Endpoint, call dragonflypass.ServiceCall) (dragonflypass.ServiceResponse, error) {
+	written := make(chan error, 1)
+	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{WroteRequest: func(info httptrace.WroteRequestInfo) { written <- info.Err }})
 	target := "http://" + endpoint.Address.String() + call.Path
 	request, err := http.NewRequestWithContext(ctx, call.Method, target, bytes.NewReader(call.Body))
 	if err != nil {
@@ -70,7 +87,15 @@
 		return dragonflypass.ServiceResponse{}, sendError(err)
 	}
 	defer func() { _ = response.Body.Close() }()
-	return i.readResponse(response)
+	result, err := i.readResponse(response)
+	if closeDelimited := response.ContentLength < 0 && len(response.TransferEncoding) == 0; err != nil || !closeDelimited {
+		return result, err
+	}
+	// The transport closes the connection at the end of the response, so that writing the call ends too.
+	if err := <-written; err != nil {
+		return dragonflypass.ServiceResponse{}, eris.Wrapf(dragonflypass.ErrUncertain, "the service ended the connection before it received the call: %v", err)
+	}
+	return result, nil
 }
 
 // sendError returns ErrUnavailable if no connection could be established, and ErrUncertain if the call may have been
