Take an engine's malformed status neither for success nor for a refusal

Cause: a cancellation counted as done for each status below 400, also 000, and an order with a status outside of HTTP as refused.

Change: a cancellation needs a status of success or 404; an order with a status below 200 or above 599 is uncertain.

Result: TestMalformedResponsesOfEngines failed in 14 cases, those of statuses that net/http accepts; it passes now.

--- a/adapter/streamer/streamer.go
+++ b/adapter/streamer/streamer.go
@@ -26,6 +26,8 @@
 	idleConnLimit = 64
 	// lineBytesLimit is the maximum length of a line of a stream in bytes; a frame holds one token.
 	lineBytesLimit = 64 << 10
+	// maxStatus is the highest status of a valid response.
+	maxStatus = 599
 	// maxReportBytes is the maximum size of a server's report in bytes, and reportBudgetBytes the memory for all that are being read.
 	maxReportBytes    = 256 << 10
 	reportBudgetBytes = 1 << 20
@@ -194,12 +196,17 @@
 		return sendError(ctx, err)
 	}
 	defer func() { _ = response.Body.Close() }()
-	if response.StatusCode >= http.StatusBadRequest && response.StatusCode != http.StatusNotFound {
+	if !succeeded(response) && response.StatusCode != http.StatusNotFound {
 		return eris.Wrap(dragonflypass.ErrUncertain, response.Status)
 	}
 	return nil
 }
 
+// succeeded reports whether the status of the response is one of success.
+func succeeded(response *http.Response) bool {
+	return response.StatusCode >= http.StatusOK && response.StatusCode < http.StatusMultipleChoices
+}
+
 // Report returns the server's report, which lags behind the server's state.
 func (s *Streamer) Report(ctx context.Context, server netip.AddrPort) (dragonflypass.ServerReport, error) {
 	request, err := http.NewRequestWithContext(ctx, http.MethodGet, baseURL(server)+"/v1/report", nil)
@@ -227,8 +234,8 @@
 	return wire.report()
 }
 
-// Order instructs the server to load or unload a model; it returns ErrFenced if the fencing number is stale
-// and ErrRefused if the server rejects the order for another reason.
+// Order instructs the server to load or unload a model; it returns ErrFenced if the fencing number is stale, ErrRefused if the server
+// rejects the order for another reason, and ErrUncertain if its response is not one of HTTP.
 func (s *Streamer) Order(ctx context.Context, server netip.AddrPort, order dragonflypass.Order) error {
 	wire := Order{Fence: uint64(order.Fence), Kind: OrderLoad, Model: string(order.Model)}
 	if order.Unload {
@@ -253,5 +260,8 @@
 	case http.StatusConflict:
 		return eris.Wrap(dragonflypass.ErrFenced, response.Status)
 	}
+	if response.StatusCode < http.StatusOK || response.StatusCode > maxStatus {
+		return eris.Wrap(dragonflypass.ErrUncertain, response.Status)
+	}
 	return eris.Wrap(dragonflypass.ErrRefused, response.Status)
 }
