--- a/Makefile
+++ b/Makefile
@@ -61,7 +61,7 @@
 	go test -count=1 -timeout 30m -run '^TestSoak$$' ./cmd/dragonflypass -args -soak.seeds=50 $(SOAK)
 
 fuzz:
-	for target in FuzzPage FuzzTable FuzzEvents; do go test ./platform -run none -fuzz "^$$target\$$" -fuzztime 1m || exit 1; done
+	for target in FuzzPage FuzzTable FuzzEvents FuzzSource; do go test ./platform -run none -fuzz "^$$target\$$" -fuzztime 1m || exit 1; done
 	go test ./adapter/verifier -run none -fuzz '^FuzzHead$$' -fuzztime 1m
 
 simulate: build
