Add dragonflyctl check

Cause: operators could not check a route table before it took effect, nor see what it changes.

Change: the command prints errors and warnings with line and field, and what differs from the version in force; a VM shows that version without its keys under /debug/routes. Exit statuses are 0, 1 and 2.

--- a/adapter/exposer/exposer.go
+++ b/adapter/exposer/exposer.go
@@ -27,6 +27,7 @@
 	router.HandleFunc("/metrics", e.showMetrics).Methods(http.MethodGet)
 	router.HandleFunc("/debug/vars", e.showVariables).Methods(http.MethodGet)
 	router.HandleFunc("/debug/state", e.showState).Methods(http.MethodGet)
+	router.HandleFunc("/debug/routes", e.showRoutes).Methods(http.MethodGet)
 	return router
 }
 
--- a/adapter/exposer/exposer_test.go
+++ b/adapter/exposer/exposer_test.go
@@ -13,6 +13,7 @@
 
 	"github.com/dragonflypass/dragonflypass"
 	"github.com/dragonflypass/dragonflypass/adapter/counter"
+	"github.com/dragonflypass/dragonflypass/core/inspector"
 	"github.com/dragonflypass/dragonflypass/internal/fake"
 )
 
@@ -51,12 +52,28 @@
 		c.Check(dump.Members, qt.HasLen, 2)
 		c.Check(dump.Owners, qt.HasLen, 1)
 		c.Check(dump.Topics, qt.HasLen, 2)
+		var table RouteTable
+		c.Assert(json.Unmarshal([]byte(get(c, e, "/debug/routes")), &table), qt.IsNil)
+		inForce, err := table.Configuration()
+		c.Assert(err, qt.IsNil)
+		changes, _ := inspector.Compare(inForce, inForceOf(e.Core.Router.Current()))
+		c.Check(changes, qt.HasLen, 0)
+		c.Check(get(c, e, "/debug/routes"), qt.Not(qt.Contains), fake.RelayKey)
 		c.Check(json.Valid([]byte(get(c, e, "/debug/vars"))), qt.IsTrue)
 		c.Check(get(c, e, "/debug/state"), qt.Not(qt.Contains), fake.RelayKey)
 		time.Sleep(5 * time.Second)
 	})
 }
 
+// inForceOf returns the configuration of the table.
+func inForceOf(t *dragonflypass.RouteTable) *inspector.Configuration {
+	c := &inspector.Configuration{Version: t.Version, Routes: t.AllRoutes(), Accounts: t.AllAccounts(), Limits: t.Limits}
+	for _, service := range t.Services {
+		c.Services = append(c.Services, service)
+	}
+	return c
+}
+
 func get(c *qt.C, e *Exposer, path string) string {
 	c.Helper()
 	response := httptest.NewRecorder()
--- a/cmd/dragonflyctl/main.go
+++ b/cmd/dragonflyctl/main.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"os"
 	"os/signal"
@@ -19,7 +20,11 @@
 	if err := newRootCommand().ExecuteContext(ctx); err != nil {
 		fmt.Fprintln(os.Stderr, "dragonflyctl:", err)
 		stop()
-		os.Exit(1)
+		status := 1
+		if exit, ok := errors.AsType[*exitError](err); ok {
+			status = exit.status
+		}
+		os.Exit(status)
 	}
 }
 
@@ -36,7 +41,7 @@
 	flags.StringSliceVar(&c.addresses, "admin", nil, "admin addresses of entry VMs; most commands use the first that responds")
 	flags.StringVar(&c.secretFile, "secret", "", "file with the operators' credential (default: environment variable DRAGONFLYPASS_SECRET)")
 	root.AddCommand(
-		newConfigCommand(c), newSheetCommand(c), newClaimsCommand(c),
+		newConfigCommand(c), newCheckCommand(c), newSheetCommand(c), newClaimsCommand(c),
 		newDumpCommand(c), newFleetCommand(c), newDrainCommand(c), newExplainCommand(), newVersionCommand(),
 	)
 	return root
--- a/route.go
+++ b/route.go
@@ -1,6 +1,9 @@
 package dragonflypass
 
 import (
+	"cmp"
+	"maps"
+	"slices"
 	"strings"
 	"time"
 )
@@ -182,6 +185,22 @@
 	return nil
 }
 
+// AllRoutes returns the routes in use, sorted by host and prefix.
+func (t *RouteTable) AllRoutes() []*RoutePolicy {
+	return slices.SortedFunc(maps.Values(t.routes), func(x, y *RoutePolicy) int {
+		return cmp.Or(strings.Compare(x.Host, y.Host), strings.Compare(x.Prefix, y.Prefix))
+	})
+}
+
+// AllAccounts returns the client accounts that have keys, sorted by name.
+func (t *RouteTable) AllAccounts() []*AccountPolicy {
+	unique := make(map[*AccountPolicy]bool)
+	for _, account := range t.accounts {
+		unique[account] = true
+	}
+	return slices.SortedFunc(maps.Keys(unique), func(x, y *AccountPolicy) int { return strings.Compare(string(x.ID), string(y.ID)) })
+}
+
 // Account returns the client account with the given key hash, nil if there is none.
 func (t *RouteTable) Account(key Digest) *AccountPolicy { return t.accounts[key] }
 
