--- a/adapter/assembler/relay.go
+++ b/adapter/assembler/relay.go
@@ -89,9 +89,9 @@
 	return s
 }
 
-func newBackend(meter dragonflypass.Meter) *platform.Servers {
+func newBackend(meter dragonflypass.Meter, logger dragonflypass.Logger) *platform.Servers {
 	s := platform.NewServers()
-	s.Meter = meter
+	s.Meter, s.Logger = meter, logger
 	return s
 }
 
--- a/standin/corrupter/response.go
+++ b/standin/corrupter/response.go
@@ -117,6 +117,9 @@
 				Response{Name: name, Text: framing.text, Early: early, Whole: true},
 				Response{Name: name + ", interim response after it", Text: framing.text + interim, Early: early, Ending: FinishUpload, Whole: true},
 				Response{Name: name + ", another response after it", Text: framing.text + failure, Early: early, Ending: FinishUpload, Whole: true})
+			if early {
+				list = append(list, Response{Name: name + ", reset after it", Text: framing.text, Early: true, Ending: Reset, Whole: true})
+			}
 		}
 	}
 	return append(list,
