Pass over plain servers that hold too many bytes of requests

Cause: a server crashes when the requests that it holds exceed its memory, and placement counted requests only, whatever their size. Change: the balancer counts the bytes of the request bodies in flight to each server and passes over a server that would exceed its limit. A single body above the limit is still sent. Without a limit nothing changes.

--- a/core/balancer/balancer.go
+++ b/core/balancer/balancer.go
@@ -34,6 +34,8 @@
 	Timer    dragonflypass.Timer
 	Assessor *assessor.Assessor
 	Excluder *excluder.Excluder
+	// BodyLimit is the maximum size in bytes of the request bodies that this VM has in flight at one server, zero for no limit.
+	BodyLimit int64
 
 	mutex   locker.Mutex
 	servers map[dragonflypass.ServerID]*serverLoad
@@ -43,6 +45,8 @@
 type serverLoad struct {
 	// inFlight is the number of requests that this VM has in flight at the server.
 	inFlight int
+	// bodyBytes is the size of their bodies.
+	bodyBytes int64
 	// othersInFlight is the number of requests from other VMs, according to the server's last load report, and
 	// reportedAt is the time of that report.
 	othersInFlight int
@@ -56,15 +60,15 @@
 	return &Balancer{mutex: locker.Mutex{Order: locker.Servers}, servers: make(map[dragonflypass.ServerID]*serverLoad)}
 }
 
-// Pick selects the server with the lowest cost and counts the request as in flight there; ok is false if all
-// servers are excluded or expect no new requests.
-func (b *Balancer) Pick(entries []dragonflypass.ServerEntry, excluded []dragonflypass.ServerID) (best dragonflypass.ServerEntry, ok bool) {
+// Pick selects the server with the lowest cost and counts the request, with a body of that size, as in flight there; ok is false if
+// all servers are excluded, expect no new requests or hold too many bytes.
+func (b *Balancer) Pick(entries []dragonflypass.ServerEntry, excluded []dragonflypass.ServerID, bodyBytes int64) (best dragonflypass.ServerEntry, ok bool) {
 	now := b.Timer.Now()
 	b.mutex.Lock()
 	defer b.mutex.Unlock()
 	var lowestCost float64
 	for i := range entries {
-		if slices.Contains(excluded, entries[i].ID) || b.Excluder.Excluded(entries[i].ID, entries[i].Address) {
+		if slices.Contains(excluded, entries[i].ID) || b.Excluder.Excluded(entries[i].ID, entries[i].Address) || b.full(entries[i].ID, bodyBytes) {
 			continue
 		}
 		if cost := b.cost(&entries[i], now); !ok || cost < lowestCost {
@@ -76,11 +80,18 @@
 	}
 	s := b.loadOf(best.ID)
 	s.inFlight++
+	s.bodyBytes += bodyBytes
 	s.pickedAt = now
 	b.Assessor.RecordSelection(best.ID)
 	return best, true
 }
 
+// full reports whether the server would hold too many bytes with the body. The caller must hold the mutex.
+func (b *Balancer) full(id dragonflypass.ServerID, bodyBytes int64) bool {
+	s, ok := b.servers[id]
+	return ok && b.BodyLimit > 0 && s.bodyBytes > 0 && s.bodyBytes+bodyBytes > b.BodyLimit
+}
+
 // cost returns the number of requests at the server, plus penalties and a random part that breaks ties. The caller
 // must hold the mutex.
 func (b *Balancer) cost(entry *dragonflypass.ServerEntry, now time.Time) float64 {
@@ -113,14 +124,15 @@
 	return s
 }
 
-// RecordOutcome records the end of a request at the server. load is the server's load report, or nil.
-func (b *Balancer) RecordOutcome(id dragonflypass.ServerID, outcome assessor.Outcome, load *dragonflypass.LoadReport) {
+// RecordOutcome records the end of a request with a body of that size at the server. load is the server's load report, or nil.
+func (b *Balancer) RecordOutcome(id dragonflypass.ServerID, outcome assessor.Outcome, load *dragonflypass.LoadReport, bodyBytes int64) {
 	b.Assessor.RecordOutcome(id, outcome)
 	now := b.Timer.Now()
 	b.mutex.Lock()
 	defer b.mutex.Unlock()
 	s := b.loadOf(id)
 	s.inFlight = max(0, s.inFlight-1)
+	s.bodyBytes = max(0, s.bodyBytes-bodyBytes)
 	if load != nil {
 		// The report includes the request that it came with, which is no longer in flight.
 		s.othersInFlight = max(0, load.Running+load.Queued-s.inFlight-1)
--- a/core/relayer/buffered.go
+++ b/core/relayer/buffered.go
@@ -40,7 +40,7 @@
 		if refusal != nil && lastResponse == nil {
 			return r.refuse(ctx, j, refusal.Reason, refusal.RetryAfter, refusal.Detail)
 		}
-		entry, ok := r.Balancer.Pick(r.Directory.Servers(j.service), j.excluded)
+		entry, ok := r.Balancer.Pick(r.Directory.Servers(j.service), j.excluded, int64(len(j.exchange.Body)))
 		if (!ok || refusal != nil) && lastResponse != nil {
 			return r.writeResponse(ctx, j, lastResponse)
 		}
@@ -120,7 +120,7 @@
 		outcome = outcomeUnlessCancelled(ctx, assessor.Failed)
 		r.checkForCrash(ctx, j, entry.ID, start, false, err)
 	}
-	r.Balancer.RecordOutcome(entry.ID, outcome, loadOf(resp))
+	r.Balancer.RecordOutcome(entry.ID, outcome, loadOf(resp), int64(len(j.exchange.Body)))
 	return result{entry: entry, response: resp, err: err, duration: r.Timer.Now().Sub(start)}
 }
 
--- a/core/relayer/hedge.go
+++ b/core/relayer/hedge.go
@@ -54,7 +54,7 @@
 	if ctx.Err() != nil || !r.takeRetry(j.service) {
 		return nil
 	}
-	entry, ok := r.Balancer.Pick(r.Directory.Servers(j.service), excluded)
+	entry, ok := r.Balancer.Pick(r.Directory.Servers(j.service), excluded, int64(len(j.exchange.Body)))
 	if !ok {
 		return nil
 	}
