Limit the memory, bodies and connections of clients

Cause: the announced length of each body was allocated before its first byte, chunked bodies grew by doubling, and nothing limited all of them together, the open bodies or the connections. serve reserved the announced length, so that a few announcements kept out all other callers. A whole response was not counted while its client did not read it. Change: core/rationer decides who gets memory, a place for a body or a connection; a part is reserved for clients that have none, and whoever makes no progress gives way. adapter/acceptor accepts connections within the limits and does not read the rest of unread bodies; bounder.Upload charges a body as it arrives; responses read as a whole are charged until the exchange ends. The limits are settings, checked at start against the memory and the descriptors. It replaces Admitter.Reserve. Tests changed: those of Callers and Exposer set a rationer; the crowd's sizes are flags with the same defaults, and serve's settings get limits/memory.

--- a/adapter/administrator/administrator.go
+++ b/adapter/administrator/administrator.go
@@ -18,6 +18,7 @@
 	"github.com/dragonflypass/dragonflypass/core/claimer"
 	"github.com/dragonflypass/dragonflypass/core/composer"
 	"github.com/dragonflypass/dragonflypass/core/configurer"
+	"github.com/dragonflypass/dragonflypass/core/rationer"
 	"github.com/dragonflypass/dragonflypass/core/waiter"
 )
 
@@ -35,6 +36,8 @@
 	Core       *composer.Node
 	Credential string
 	Metrics    expvar.Var
+	// Rationer accounts for what callers hold.
+	Rationer *rationer.Rationer
 }
 
 // Handler returns the HTTP handler for operators.
--- a/adapter/administrator/state.go
+++ b/adapter/administrator/state.go
@@ -21,7 +21,7 @@
 	// Busy is the number of callers' requests in progress, and OpenStreams the number of streams at backend servers.
 	Busy        int `json:"busy"`
 	OpenStreams int `json:"open"`
-	// BufferedBytes is the memory used by request bodies.
+	// BufferedBytes is the memory held for callers.
 	BufferedBytes  int64         `json:"buffered"`
 	QueuedRequests int           `json:"waiting"`
 	Members        []Member      `json:"members"`
@@ -97,7 +97,7 @@
 		VM: string(core.Options.Self.ID), Zone: string(core.Options.Self.Zone), Incarnation: core.Options.Incarnation,
 		At: core.Ports.Timer.Now(), Leaving: core.Detector.Leaving(), Ready: core.Ready(),
 		ConfigOffset: uint64(core.Configurer.Current().Offset),
-		Busy:         core.Drainer.Busy(), OpenStreams: core.Dispatcher.OpenCount(), BufferedBytes: core.Admitter.Buffered(),
+		Busy:         core.Drainer.Busy(), OpenStreams: core.Dispatcher.OpenCount(), BufferedBytes: a.Rationer.Usage().Bytes,
 		Members: members(core.Detector.Others()), Claims: a.claims(), Suspects: suspects(core.Quarantiner.Suspects()), Parts: suspectParts(core.Quarantiner.SuspectParts()),
 	}
 	owned := core.Scheduler.State()
--- a/adapter/assembler/assembler.go
+++ b/adapter/assembler/assembler.go
@@ -40,7 +40,7 @@
 			fx.Annotate(streamer.New, fx.As(fx.Self()), fx.As(new(dragonflypass.Engine))),
 			fx.Annotate(invoker.New, fx.As(fx.Self()), fx.As(new(dragonflypass.ServiceClient))),
 			fx.Annotate(newClient, fx.As(fx.Self()), fx.As(new(dragonflypass.PeerClient))),
-			newListeners, newCore, newResponder, newAdministrator, newPeerServer, newNode,
+			newListeners, newNodeRationer, newCore, newResponder, newAdministrator, newPeerServer, newNode,
 		),
 	)
 }
@@ -124,7 +124,6 @@
 		LogRetention:       time.Duration(settings.Platform.Retention),
 		OutcomeRetention:   time.Duration(times.OutcomeRetention),
 		Shards:             settings.Shards,
-		BufferLimit:        settings.Limits.BufferBytes,
 	}
 	return composer.Compose(options, composer.Ports{
 		Timer: ports.Timer, Pool: ports.Pool, Log: ports.Log, Directory: ports.Directory, Engine: ports.Engine,
--- a/adapter/assembler/front.go
+++ b/adapter/assembler/front.go
@@ -15,12 +15,14 @@
 	"github.com/rotisserie/eris"
 
 	"github.com/dragonflypass/dragonflypass"
+	"github.com/dragonflypass/dragonflypass/adapter/acceptor"
 	"github.com/dragonflypass/dragonflypass/adapter/administrator"
 	"github.com/dragonflypass/dragonflypass/adapter/counter"
 	"github.com/dragonflypass/dragonflypass/adapter/loader"
 	"github.com/dragonflypass/dragonflypass/adapter/messenger"
 	"github.com/dragonflypass/dragonflypass/adapter/responder"
 	"github.com/dragonflypass/dragonflypass/core/composer"
+	"github.com/dragonflypass/dragonflypass/core/rationer"
 )
 
 // maxHeaderBytes is the maximum size of a request header.
@@ -71,9 +73,9 @@
 // AdminAddress returns the address for operators.
 func (l *Listeners) AdminAddress() netip.AddrPort { return addressOf(l.Admin) }
 
-func newResponder(settings *loader.Settings, core *composer.Node) *responder.Responder {
+func newResponder(settings *loader.Settings, core *composer.Node, rations *rationer.Rationer) *responder.Responder {
 	r := &responder.Responder{
-		Timer: core.Ports.Timer, Completer: core.Dispatcher, Forwarder: core.Forwarder, Buffer: core.Admitter,
+		Timer: core.Ports.Timer, Completer: core.Dispatcher, Forwarder: core.Forwarder, Rationer: rations, BodyStall: time.Duration(settings.Limits.BodyStall),
 		Current: core.Configurer.Current, Leaving: core.Detector.Leaving,
 		MaxBodyBytes: settings.Limits.MaxBodyBytes, UploadTimeout: time.Duration(settings.Limits.UploadTimeout), WriteTimeout: time.Duration(settings.Limits.WriteTimeout),
 	}
@@ -81,8 +83,8 @@
 	return r
 }
 
-func newAdministrator(settings *loader.Settings, core *composer.Node, metrics *counter.Counter) *administrator.Administrator {
-	return &administrator.Administrator{Core: core, Credential: settings.Admin.Secret.Value, Metrics: metrics}
+func newAdministrator(settings *loader.Settings, core *composer.Node, metrics *counter.Counter, rations *rationer.Rationer) *administrator.Administrator {
+	return &administrator.Administrator{Core: core, Credential: settings.Admin.Secret.Value, Metrics: metrics, Rationer: rations}
 }
 
 func newPeerServer(settings *loader.Settings, core *composer.Node, pool dragonflypass.Pool, meter dragonflypass.Meter) *messenger.Server {
@@ -93,11 +95,13 @@
 
 // newServer returns an HTTP server with limits on the size of headers and on the time that clients may take.
 func newServer(settings *loader.Settings, handler http.Handler) *http.Server {
-	return &http.Server{
+	server := &http.Server{
 		Handler: handler, MaxHeaderBytes: maxHeaderBytes,
 		ReadHeaderTimeout: time.Duration(settings.Limits.HeaderTimeout), IdleTimeout: time.Duration(settings.Limits.IdleTimeout),
 		ErrorLog: stdlog.New(io.Discard, "", 0),
 	}
+	acceptor.Attach(server)
+	return server
 }
 
 // withHealthChecks adds the health checks to the handler for callers, because the platform's load balancer probes that port.
--- a/adapter/assembler/node.go
+++ b/adapter/assembler/node.go
@@ -10,6 +10,8 @@
 
 	"go.uber.org/fx"
 
+	"github.com/dragonflypass/dragonflypass"
+	"github.com/dragonflypass/dragonflypass/adapter/acceptor"
 	"github.com/dragonflypass/dragonflypass/adapter/administrator"
 	"github.com/dragonflypass/dragonflypass/adapter/appender"
 	"github.com/dragonflypass/dragonflypass/adapter/counter"
@@ -20,6 +22,7 @@
 	"github.com/dragonflypass/dragonflypass/adapter/streamer"
 	"github.com/dragonflypass/dragonflypass/adapter/timer"
 	"github.com/dragonflypass/dragonflypass/core/composer"
+	"github.com/dragonflypass/dragonflypass/core/rationer"
 	"github.com/dragonflypass/dragonflypass/core/worker"
 )
 
@@ -55,6 +58,8 @@
 	Appender   *appender.Appender
 	Lister     *lister.Lister
 	Streamer   *streamer.Streamer
+	Rationer   *rationer.Rationer
+	Logger     dragonflypass.Logger
 }
 
 // newNode returns the node and registers its start and stop with the lifecycle of the process.
@@ -67,7 +72,11 @@
 }
 
 func (n *Node) start(context.Context) error {
-	peers := n.Listeners.Peers
+	limits := &n.Settings.Limits
+	restrict := func(listener net.Listener, connections int) net.Listener {
+		return &acceptor.Acceptor{Listener: listener, Rationer: newRationer(loader.PortRations(connections), n.Metrics, n.adapters.Logger)}
+	}
+	peers := restrict(n.Listeners.Peers, limits.PeerConnections)
 	if files := n.Settings.Peers.TLS; files != nil {
 		tlsConfig, err := loadTLS(files)
 		if err != nil {
@@ -81,9 +90,9 @@
 		n.wg.Go(func() { run(ctx) })
 	}
 	n.stopPeerChecks = checkPeers(n.adapters.Timer, n.Client, n.adapters.PeerServer)
-	n.serve(n.Listeners.Callers, withHealthChecks(n.Admin, n.adapters.Responder.Handler()))
+	n.serve(&acceptor.Acceptor{Listener: n.Listeners.Callers, Rationer: n.adapters.Rationer}, withHealthChecks(n.Admin, n.adapters.Responder.Handler()))
 	n.serve(peers, n.adapters.PeerServer)
-	n.serve(n.Listeners.Admin, n.Admin.Handler())
+	n.serve(restrict(n.Listeners.Admin, loader.OtherConnections), n.Admin.Handler())
 	return nil
 }
 
--- a/adapter/assembler/relay.go
+++ b/adapter/assembler/relay.go
@@ -15,6 +15,7 @@
 	"go.uber.org/fx"
 
 	"github.com/dragonflypass/dragonflypass"
+	"github.com/dragonflypass/dragonflypass/adapter/acceptor"
 	"github.com/dragonflypass/dragonflypass/adapter/counter"
 	"github.com/dragonflypass/dragonflypass/adapter/dialer"
 	"github.com/dragonflypass/dragonflypass/adapter/exposer"
@@ -23,6 +24,7 @@
 	"github.com/dragonflypass/dragonflypass/adapter/messenger"
 	"github.com/dragonflypass/dragonflypass/adapter/timer"
 	"github.com/dragonflypass/dragonflypass/core/composer"
+	"github.com/dragonflypass/dragonflypass/core/rationer"
 	"github.com/dragonflypass/dragonflypass/core/worker"
 	"github.com/dragonflypass/dragonflypass/platform"
 )
@@ -65,7 +67,7 @@
 			fx.Annotate(newStore, fx.As(fx.Self()), fx.As(new(dragonflypass.Store)), fx.As(new(dragonflypass.Directory))),
 			fx.Annotate(newRelayClient, fx.As(fx.Self()), fx.As(new(dragonflypass.PeerClient))),
 			fx.Annotate(newBackend, fx.As(fx.Self()), fx.As(new(dragonflypass.Backend))),
-			newRelay, newRelayNode,
+			newRelay, newRelayRationer, newRelayNode,
 		),
 	)
 }
@@ -117,7 +119,7 @@
 
 // newRelay composes the core of the node. The incarnation is the start time, so each start has a higher one.
 func newRelay(settings *loader.RelaySettings, ports relayPorts) *composer.Relay {
-	return composer.ComposeRelay(composer.RelayOptions{
+	core := composer.ComposeRelay(composer.RelayOptions{
 		Self: settings.VM(), Incarnation: uint64(time.Now().UnixNano()), Seeds: settings.Seeds,
 		HeartbeatInterval: time.Duration(settings.Times.HeartbeatInterval), RetryRatio: settings.Budget.Ratio, RetryBurst: settings.Budget.Burst,
 		RevokeLimit: time.Duration(settings.Times.RevokeLimit), ApplyLimit: time.Duration(settings.Times.ApplyLimit),
@@ -126,6 +128,8 @@
 		Timer: ports.Timer, Pool: ports.Pool, Store: ports.Store, Backend: ports.Backend, Meter: ports.Meter, Logger: ports.Logger,
 		Peers: ports.Peers, Directory: ports.Directory,
 	})
+	core.Balancer.BodyLimit = settings.Limits.ServerBytes
+	return core
 }
 
 // RelayNode is the process of one entry VM that relays exchanges on the platform.
@@ -157,16 +161,17 @@
 	Client    *messenger.Client
 	LogWriter *logger.Logger
 	Logger    dragonflypass.Logger
+	Rationer  *rationer.Rationer
 }
 
 // newRelayNode returns the node and registers its start and stop with the lifecycle of the process.
 func newRelayNode(lifecycle fx.Lifecycle, settings *loader.RelaySettings, core *composer.Relay, metrics *counter.Counter, adapters relayAdapters) *RelayNode {
 	n := &RelayNode{Settings: settings, Core: core, Metrics: metrics, adapters: adapters}
-	n.callers = &platform.Callers{Relay: core.Relayer, Limits: n.limits, CloseConnections: func() bool { return !core.Ready() }, Meter: metrics, Logger: adapters.Logger, MaxBodyBytes: settings.Limits.MaxBodyBytes}
+	n.callers = &platform.Callers{Relay: core.Relayer, Limits: n.limits, CloseConnections: func() bool { return !core.Ready() }, Meter: metrics, Logger: adapters.Logger, MaxBodyBytes: settings.Limits.MaxBodyBytes, Rationer: adapters.Rationer, BodyStall: time.Duration(settings.Limits.BodyStall)}
 	adapters.Client.ConnectionLost = core.Detector.ProbeAddress
 	n.peers = messenger.NewServer()
 	n.peers.Pool, n.peers.Meter, n.peers.Handler = adapters.Pool, metrics, core.Handler()
-	n.Exposer = &exposer.Exposer{Core: core, Metrics: metrics, Busy: n.callers.Busy}
+	n.Exposer = &exposer.Exposer{Core: core, Metrics: metrics, Busy: n.callers.Busy, Usage: adapters.Rationer.Usage}
 	lifecycle.Append(fx.Hook{OnStart: n.start, OnStop: n.stop})
 	return n
 }
@@ -192,13 +197,17 @@
 	for _, port := range []struct {
 		address netip.AddrPort
 		handler http.Handler
-	}{{listen.Callers, n.callers}, {listen.Probes, platform.Readiness(n.Core.Ready)}, {listen.Peers, n.peers}} {
-		if err := n.serve(port.address, port.handler); err != nil {
+		rations *rationer.Rationer
+	}{
+		{listen.Callers, n.callers, n.adapters.Rationer}, {listen.Probes, platform.Readiness(n.Core.Ready), n.portRationer(loader.OtherConnections)},
+		{listen.Peers, n.peers, n.portRationer(n.Settings.Limits.PeerConnections)},
+	} {
+		if err := n.serve(port.address, port.handler, port.rations); err != nil {
 			return err
 		}
 	}
 	if listen.Metrics.IsValid() {
-		if err := n.serve(listen.Metrics, n.Exposer.Handler()); err != nil {
+		if err := n.serve(listen.Metrics, n.Exposer.Handler(), n.portRationer(loader.OtherConnections)); err != nil {
 			n.adapters.Logger.Warn("metrics not served", "address", listen.Metrics, "error", err)
 		}
 	}
@@ -221,8 +230,13 @@
 	}
 }
 
+// portRationer returns the rationer of a port that takes that many connections.
+func (n *RelayNode) portRationer(connections int) *rationer.Rationer {
+	return newRationer(loader.PortRations(connections), n.Metrics, n.adapters.Logger)
+}
+
 // serve opens the port and serves the handler on it.
-func (n *RelayNode) serve(address netip.AddrPort, handler http.Handler) error {
+func (n *RelayNode) serve(address netip.AddrPort, handler http.Handler, rations *rationer.Rationer) error {
 	config := net.ListenConfig{KeepAlive: -1, Control: dialer.UserTimeout(callerUserTimeout)}
 	listener, err := config.Listen(context.Background(), "tcp", address.String())
 	if err != nil {
@@ -233,8 +247,9 @@
 		ReadHeaderTimeout: time.Duration(n.Settings.Limits.HeaderTimeout), IdleTimeout: time.Duration(n.Settings.Limits.IdleTimeout),
 		ErrorLog: stdlog.New(io.Discard, "", 0),
 	}
+	acceptor.Attach(server)
 	n.servers = append(n.servers, server)
-	n.wg.Go(func() { _ = server.Serve(listener) })
+	n.wg.Go(func() { _ = server.Serve(&acceptor.Acceptor{Listener: listener, Rationer: rations}) })
 	return nil
 }
 
--- a/adapter/bounder/bounder.go
+++ b/adapter/bounder/bounder.go
@@ -21,9 +21,20 @@
 
 // Budget is the memory that the bodies being read may take together, besides their first 8 KB each.
 type Budget struct {
-	memory *semaphore.Weighted
+	memory Memory
 }
 
+// Memory is memory of which bodies take parts.
+type Memory interface {
+	// TryAcquire takes bytes and reports whether there were enough.
+	TryAcquire(bytes int64) bool
+	// Release gives bytes back.
+	Release(bytes int64)
+}
+
+// BudgetOf returns a budget that takes its memory from the given one.
+func BudgetOf(memory Memory) *Budget { return &Budget{memory: memory} }
+
 // NewBudget returns a budget of the given size in bytes.
 func NewBudget(bytes int64) *Budget { return &Budget{memory: semaphore.NewWeighted(bytes)} }
 
--- a/adapter/exposer/exposer.go
+++ b/adapter/exposer/exposer.go
@@ -11,6 +11,7 @@
 
 	"github.com/dragonflypass/dragonflypass/adapter/counter"
 	"github.com/dragonflypass/dragonflypass/core/composer"
+	"github.com/dragonflypass/dragonflypass/core/rationer"
 )
 
 // Exposer serves diagnostic pages to operators; none of them contains a key or a prompt.
@@ -19,6 +20,8 @@
 	Metrics *counter.Counter
 	// Busy returns the number of requests in progress.
 	Busy func() int
+	// Usage returns what callers hold.
+	Usage func() rationer.Usage
 }
 
 // Handler returns the HTTP handler for the pages.
@@ -50,6 +53,8 @@
 	for _, budget := range state.Budgets {
 		fmt.Fprintf(w, "retry_budget{service=%q} %.1f\n", budget.Service, budget.Balance)
 	}
+	usage := e.Usage()
+	fmt.Fprintf(w, "bytes_held %d\nbodies_open %d\nconnections_open %d\n", usage.Bytes, usage.Bodies, usage.Connections)
 	// A write fails only if the client has disconnected.
 	_ = e.Metrics.WriteText(w)
 }
--- a/adapter/exposer/exposer_test.go
+++ b/adapter/exposer/exposer_test.go
@@ -13,6 +13,7 @@
 
 	"github.com/dragonflypass/dragonflypass"
 	"github.com/dragonflypass/dragonflypass/adapter/counter"
+	"github.com/dragonflypass/dragonflypass/core/rationer"
 	"github.com/dragonflypass/dragonflypass/internal/fake"
 )
 
@@ -23,7 +24,7 @@
 		site := fake.NewRelaySite(t.Context(), 3, 2, 2)
 		site.Start()
 		metrics := counter.New()
-		e := &Exposer{Core: site.Nodes[0].Relay, Metrics: metrics, Busy: func() int { return 1 }}
+		e := &Exposer{Core: site.Nodes[0].Relay, Metrics: metrics, Busy: func() int { return 1 }, Usage: rationer.New().Usage}
 		e.Core.Relayer.Meter = metrics
 		for i := range 5 {
 			c.Assert(site.Send(0, fake.NewExchange(fmt.Sprint(i), "/stream/x", 500)).Err, qt.IsNil)
@@ -34,7 +35,7 @@
 
 		text := get(c, e, "/metrics")
 		for _, line := range []string{
-			"ready 1\n", "streams_open 1\n", `members{state="live"} 2`, "servers_registered 4\n", "requests_admitted 6\n",
+			"ready 1\n", "streams_open 1\n", "bytes_held 0\n", "connections_open 0\n", `members{state="live"} 2`, "servers_registered 4\n", "requests_admitted 6\n",
 			`requests_ended{service="models",outcome="answered",rank="urgent",class="2k"} 5`,
 			`requests_ended{service="",outcome="not-found",rank="urgent",class="2k"} 1`,
 			`request_first_ms{service="models",outcome="answered",rank="urgent",class="2k",quantile="0.95"} `,
--- a/adapter/loader/loader.go
+++ b/adapter/loader/loader.go
@@ -98,6 +98,9 @@
 	UploadTimeout encoder.Duration `json:"upload"`
 	IdleTimeout   encoder.Duration `json:"idle"`
 	WriteTimeout  encoder.Duration `json:"write"`
+	// MemoryMiB is the memory of the process in MiB, zero if it is not limited.
+	MemoryMiB int64 `json:"memory"`
+	ClientLimits
 }
 
 // Times are the intervals and timeouts of the process.
@@ -164,13 +167,16 @@
 }
 
 // Parse validates settings and sets the defaults; it does not read secrets from files.
-func Parse(data []byte) (*Settings, error) {
+func Parse(data []byte) (*Settings, error) { return ParseFor(data, DescriptorLimit()) }
+
+// ParseFor is Parse for a process that may open that many descriptors.
+func ParseFor(data []byte, descriptors int) (*Settings, error) {
 	settings := &Settings{}
 	if err := parse(data, settingsSchema, settings); err != nil {
 		return nil, err
 	}
-	settings.setDefaults()
-	if faults := settings.check(); len(faults) > 0 {
+	settings.setDefaults(descriptors)
+	if faults := settings.check(descriptors); len(faults) > 0 {
 		return nil, faults
 	}
 	return settings, nil
@@ -248,11 +254,12 @@
 	}
 }
 
-func (s *Settings) setDefaults() {
+func (s *Settings) setDefaults(descriptors int) {
 	s.Log.Level = cmp.Or(s.Log.Level, "info")
 	s.Log.Format = cmp.Or(s.Log.Format, "text")
 	s.Limits.MaxBodyBytes = cmp.Or(s.Limits.MaxBodyBytes, 16<<20)
 	s.Limits.BufferBytes = cmp.Or(s.Limits.BufferBytes, 256<<20)
+	s.Limits.ClientLimits.setDefaults(s.Limits.memoryBytes(), descriptors)
 	s.Workers = cmp.Or(s.Workers, 16)
 	s.Shards = cmp.Or(s.Shards, 4)
 	setDefaultDuration(&s.Platform.Retention, 24*time.Hour)
@@ -271,15 +278,14 @@
 	setDefaultDuration(&s.Times.OutcomeRetention, 72*time.Hour)
 }
 
-// check returns the faults that depend on several settings.
-func (s *Settings) check() Faults {
-	var faults Faults
+// check returns the faults that depend on several settings or on the descriptor limit.
+func (s *Settings) check(descriptors int) Faults {
+	faults := s.Limits.ClientLimits.check("buffer", s.Limits.BufferBytes, s.Limits.MaxBodyBytes, s.Limits.MemoryMiB*mebibyte, descriptors)
 	addIf := func(invalid bool, path, text string) {
 		if invalid {
 			faults = append(faults, Fault{Path: path, Message: text})
 		}
 	}
-	addIf(s.Limits.BufferBytes < s.Limits.MaxBodyBytes, "/limits/buffer", "must be at least limits/body")
 	addIf(s.Times.Lease < 3*s.Times.HeartbeatInterval, "/times/lease", "must be at least three times times/heartbeat")
 	addIf(s.Times.ReportLag < s.Times.ReportInterval, "/times/lag", "must be at least times/report")
 	addIf(equalAddresses(s.Listen.Callers, s.Listen.Peers) || equalAddresses(s.Listen.Callers, s.Listen.Admin) || equalAddresses(s.Listen.Peers, s.Listen.Admin),
--- a/adapter/loader/relay.go
+++ b/adapter/loader/relay.go
@@ -16,6 +16,9 @@
 	"github.com/dragonflypass/dragonflypass/adapter/encoder"
 )
 
+// defaultServerBodies is the number of the largest bodies that may be in flight to one server of a plain service.
+const defaultServerBodies = 8
+
 //go:embed relay.json
 var relaySchema []byte
 
@@ -55,6 +58,11 @@
 	MaxBodyBytes   int64            `json:"body"`
 	HeaderTimeout  encoder.Duration `json:"header"`
 	IdleTimeout    encoder.Duration `json:"idle"`
+	// HeldBytes is the limit on the memory that is held for all clients, and ServerBytes that on the request bodies in flight to
+	// one server of a plain service.
+	HeldBytes   int64 `json:"held"`
+	ServerBytes int64 `json:"server"`
+	ClientLimits
 }
 
 // RelayTimes are the time limits that the platform sets, and the heartbeat interval.
@@ -86,14 +94,17 @@
 	return ParseRelay(data)
 }
 
-// ParseRelay validates settings and sets the defaults.
-func ParseRelay(data []byte) (*RelaySettings, error) {
+// ParseRelay validates settings and sets the defaults, with the descriptor limit of this process.
+func ParseRelay(data []byte) (*RelaySettings, error) { return ParseRelayFor(data, DescriptorLimit()) }
+
+// ParseRelayFor validates settings and sets the defaults for a process that may open that many descriptors.
+func ParseRelayFor(data []byte, descriptors int) (*RelaySettings, error) {
 	settings := &RelaySettings{}
 	if err := parse(data, relaySchema, settings); err != nil {
 		return nil, err
 	}
-	settings.setDefaults()
-	if faults := settings.check(); len(faults) > 0 {
+	settings.setDefaults(descriptors)
+	if faults := settings.check(descriptors); len(faults) > 0 {
 		return nil, faults
 	}
 	return settings, nil
@@ -118,21 +129,27 @@
 	return nil
 }
 
-func (s *RelaySettings) setDefaults() {
+func (s *RelaySettings) setDefaults(descriptors int) {
 	s.Log.Level = cmp.Or(s.Log.Level, "info")
 	s.Limits.MemoryMiB = cmp.Or(s.Limits.MemoryMiB, 256)
 	s.Limits.ProcessorShare = cmp.Or(s.Limits.ProcessorShare, 1)
 	s.Limits.ProcessorSpeed = cmp.Or(s.Limits.ProcessorSpeed, 1)
 	s.Limits.MaxBodyBytes = cmp.Or(s.Limits.MaxBodyBytes, 4<<20)
+	s.Limits.HeldBytes = cmp.Or(s.Limits.HeldBytes, max(s.Limits.MemoryMiB*mebibyte/heldShare, 2*s.Limits.MaxBodyBytes))
+	s.Limits.ServerBytes = cmp.Or(s.Limits.ServerBytes, defaultServerBodies*s.Limits.MaxBodyBytes)
+	s.Limits.ClientLimits.setDefaults(s.Limits.MemoryMiB*mebibyte, descriptors)
 	s.Workers = cmp.Or(s.Workers, 16)
 	setDefaultDuration(&s.Limits.HeaderTimeout, 5*time.Second)
 	setDefaultDuration(&s.Limits.IdleTimeout, time.Minute)
 	setDefaultDuration(&s.Times.HeartbeatInterval, 300*time.Millisecond)
 }
 
-// check returns the faults that depend on several settings.
-func (s *RelaySettings) check() Faults {
-	var faults Faults
+// check returns the faults that depend on several settings or on the descriptor limit.
+func (s *RelaySettings) check(descriptors int) Faults {
+	faults := s.Limits.ClientLimits.check("held", s.Limits.HeldBytes, s.Limits.MaxBodyBytes, s.Limits.MemoryMiB*mebibyte, descriptors)
+	if s.Limits.ServerBytes < s.Limits.MaxBodyBytes {
+		faults = append(faults, Fault{Path: "/limits/server", Message: "must be at least limits/body"})
+	}
 	l := s.Listen
 	if equalAddresses(l.Callers, l.Probes) || equalAddresses(l.Callers, l.Peers) || equalAddresses(l.Probes, l.Peers) {
 		faults = append(faults, Fault{Path: "/listen", Message: "the addresses must differ"})
--- a/adapter/responder/body.go
+++ b/adapter/responder/body.go
@@ -2,37 +2,51 @@
 
 import (
 	"encoding/json"
-	"errors"
-	"io"
 	"mime"
 	"net/http"
+	"net/netip"
 
 	"github.com/dragonflypass/dragonflypass"
+	"github.com/dragonflypass/dragonflypass/adapter/bounder"
 )
 
+// clientAddress returns the address of the caller, the zero value if it is not known.
+func clientAddress(request *http.Request) netip.Addr {
+	address, err := netip.ParseAddrPort(request.RemoteAddr)
+	if err != nil {
+		return netip.Addr{}
+	}
+	return address.Addr()
+}
+
 // readBody reads the request body, bounded in size, memory and time. The caller must call release once it no longer needs the body.
 func (r *Responder) readBody(w http.ResponseWriter, request *http.Request) (body []byte, release func(), refusal *dragonflypass.Refusal) {
-	size := request.ContentLength
-	if size > r.MaxBodyBytes {
-		return nil, nil, r.refuseLarge()
+	if request.ContentLength == 0 {
+		return nil, func() {}, nil
 	}
-	if size < 0 {
-		size = r.MaxBodyBytes
+	if request.ContentLength > r.MaxBodyBytes {
+		return nil, nil, r.refuseLarge()
 	}
-	release, refusal = r.Buffer.Reserve(size)
+	now := r.Timer.Now()
+	reading := &bounder.Interrupter{Controller: http.NewResponseController(w)}
+	defer reading.End()
+	ration, refusal := r.Rationer.OpenBody(clientAddress(request), now, reading.Interrupt)
 	if refusal != nil {
 		return nil, nil, refusal
 	}
-	_ = http.NewResponseController(w).SetReadDeadline(r.Timer.Now().Add(r.UploadTimeout))
-	body, err := io.ReadAll(http.MaxBytesReader(w, request.Body, r.MaxBodyBytes))
-	if err != nil {
-		release()
-		if _, tooLarge := errors.AsType[*http.MaxBytesError](err); tooLarge {
-			return nil, nil, r.refuseLarge()
+	upload := bounder.Upload{
+		Body: request.Body, Ration: ration, Length: request.ContentLength, Limit: r.MaxBodyBytes,
+		Stall: r.BodyStall, Deadline: now.Add(r.UploadTimeout), SetDeadline: reading.SetDeadline,
+	}
+	if body, refusal = upload.ReadAll(); refusal != nil {
+		ration.Close()
+		if refusal.Reason == dragonflypass.ReasonTimeout {
+			// The status of a timeout would tell the caller that the request may have run.
+			refusal.Reason = dragonflypass.ReasonStalledBody
 		}
-		return nil, nil, dragonflypass.Refuse(dragonflypass.ReasonBadRequest, 0, "the body was not received completely")
+		return nil, nil, refusal
 	}
-	return body, release, nil
+	return body, ration.Close, nil
 }
 
 func (r *Responder) refuseLarge() *dragonflypass.Refusal {
--- a/adapter/responder/problem.go
+++ b/adapter/responder/problem.go
@@ -55,6 +55,7 @@
 	dragonflypass.ReasonInProgress:   http.StatusConflict,
 	dragonflypass.ReasonUnknown:      http.StatusConflict,
 	dragonflypass.ReasonConflict:     http.StatusConflict,
+	dragonflypass.ReasonStalledBody:  http.StatusRequestTimeout,
 }
 
 func newProblem(refusal *dragonflypass.Refusal, requestID string) problem {
--- a/adapter/responder/responder.go
+++ b/adapter/responder/responder.go
@@ -11,6 +11,7 @@
 
 	"github.com/dragonflypass/dragonflypass"
 	"github.com/dragonflypass/dragonflypass/core/dispatcher"
+	"github.com/dragonflypass/dragonflypass/core/rationer"
 )
 
 // Completer runs completions.
@@ -25,18 +26,13 @@
 	Forward(ctx context.Context, call dragonflypass.ServiceCall) (dragonflypass.ServiceResponse, error)
 }
 
-// Buffer limits the memory used by request bodies.
-type Buffer interface {
-	// Reserve reserves memory in bytes, which release frees; it refuses when too little is left.
-	Reserve(bytes int64) (release func(), refusal *dragonflypass.Refusal)
-}
-
 // Responder serves the HTTP requests of callers.
 type Responder struct {
 	Timer     dragonflypass.Timer
 	Completer Completer
 	Forwarder Forwarder
-	Buffer    Buffer
+	// Rationer limits the memory and the number of open request bodies.
+	Rationer *rationer.Rationer
 	// Current returns the configuration in effect.
 	Current func() *dragonflypass.Configuration
 	// Leaving reports whether this VM is shutting down.
@@ -45,6 +41,8 @@
 	MaxBodyBytes int64
 	// UploadTimeout is the maximum time for reading a request body.
 	UploadTimeout time.Duration
+	// BodyStall is the maximum time without progress of a request body.
+	BodyStall time.Duration
 	// WriteTimeout is the maximum time for writing one frame to a caller.
 	WriteTimeout time.Duration
 
--- a/adapter/responder/service_call.go
+++ b/adapter/responder/service_call.go
@@ -16,6 +16,8 @@
 	idempotencyKeyHeader = "Idempotency-Key"
 	// maxKeyBytes is the maximum length of an idempotency key.
 	maxKeyBytes = 256
+	// writeBytes is the size in bytes of the parts in which a response is written. A longer one counts as held in memory.
+	writeBytes = 64 << 10
 )
 
 func (r *Responder) callService(w http.ResponseWriter, request *http.Request) {
@@ -53,7 +55,12 @@
 		r.refuseError(w, err)
 		return
 	}
-	writeResponse(w, response)
+	if len(response.Body) > writeBytes {
+		held := r.Rationer.Open(clientAddress(request))
+		held.Hold(int64(len(response.Body)))
+		defer held.Close()
+	}
+	r.writeResponse(w, response)
 }
 
 // servicePath returns the path and query of the request without the prefix /services/{service}.
@@ -80,7 +87,8 @@
 	return time.Unix(seconds, nanoseconds)
 }
 
-func writeResponse(w http.ResponseWriter, response dragonflypass.ServiceResponse) {
+// writeResponse writes the response. It stops if the caller takes no part of it within WriteTimeout.
+func (r *Responder) writeResponse(w http.ResponseWriter, response dragonflypass.ServiceResponse) {
 	if response.ContentType != "" {
 		w.Header().Set("Content-Type", response.ContentType)
 	}
@@ -92,5 +100,13 @@
 		status = http.StatusOK
 	}
 	w.WriteHeader(status)
-	_, _ = w.Write(response.Body)
+	controller := http.NewResponseController(w)
+	for data := response.Body; len(data) > 0; {
+		part := data[:min(writeBytes, len(data))]
+		_ = controller.SetWriteDeadline(r.Timer.Now().Add(r.WriteTimeout))
+		if _, err := w.Write(part); err != nil {
+			return
+		}
+		data = data[len(part):]
+	}
 }
--- a/cmd/dragonflypass/crowd_linux_test.go
+++ b/cmd/dragonflypass/crowd_linux_test.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"encoding/json"
+	"flag"
 	"fmt"
 	"io"
 	"net"
@@ -27,17 +28,19 @@
 	"github.com/dragonflypass/dragonflypass/standin/starter"
 )
 
+// The size of the crowd, and the memory in the settings of the processes, which their resident memory must not exceed. The numbers of
+// large bodies that are sent at once and of connections exceed the bounds if a process holds them all. make test uses the defaults.
+var (
+	crowdMemoryMiB   = flag.Int("crowd.memory", 96, "memory of the processes that meet a crowd, in MB")
+	crowdBodies      = flag.Int("crowd.bodies", 100, "number of large bodies of a crowd")
+	crowdConnections = flag.Int("crowd.connections", 1500, "number of connections of a crowd")
+)
+
 const (
-	// crowdMemoryMiB is the memory in the settings of the processes, which their resident memory must not exceed.
-	crowdMemoryMiB = 96
-	// crowdDescriptors is the bound on open descriptors: ten for each MB of memory.
-	crowdDescriptors = 10 * crowdMemoryMiB
+	// crowdDescriptorsPerMiB is the bound on open descriptors for each MB of memory.
+	crowdDescriptorsPerMiB = 10
 	// crowdBodyBytes is the limit of the operators on the size of a body.
 	crowdBodyBytes = 4 << 20
-	// crowdBodies is the number of large bodies that are sent at once, and crowdConnections that of connections: both exceed the
-	// bounds if the process holds them all.
-	crowdBodies      = 100
-	crowdConnections = 1500
 	// crowdTime is the maximum time in which a client of the crowd sends its data.
 	crowdTime = 3 * time.Second
 )
@@ -78,8 +81,8 @@
 // crowds returns the crowds for the path, by name.
 func crowds(path string) map[string]crowd {
 	return map[string]crowd{
-		"a large chunks": {crowdBodies, func(conn io.Writer, _ int) { sendChunks(conn, path, crowdBodyBytes, 64<<10, "") }},
-		"b small chunks": {crowdConnections, func(conn io.Writer, index int) {
+		"a large chunks": {*crowdBodies, func(conn io.Writer, _ int) { sendChunks(conn, path, crowdBodyBytes, 64<<10, "") }},
+		"b small chunks": {*crowdConnections, func(conn io.Writer, index int) {
 			switch index % 3 {
 			case 0:
 				sendChunks(conn, path, 32<<10, 1, "")
@@ -90,14 +93,14 @@
 				_, _ = io.WriteString(conn, "0\r\n"+strings.Repeat("Trailer: "+strings.Repeat("v", 100)+"\r\n", 20+40*(index%2)))
 			}
 		}},
-		"c announced over the limit": {crowdConnections, func(conn io.Writer, _ int) {
+		"c announced over the limit": {*crowdConnections, func(conn io.Writer, _ int) {
 			_, _ = io.WriteString(conn, lengthHead(path, 1<<30)+strings.Repeat("x", 16<<10))
 		}},
-		"d announced at the limit": {crowdConnections, func(conn io.Writer, _ int) {
+		"d announced at the limit": {*crowdConnections, func(conn io.Writer, _ int) {
 			_, _ = io.WriteString(conn, lengthHead(path, crowdBodyBytes))
 		}},
-		"e sent over the limit": {crowdBodies, func(conn io.Writer, _ int) { sendChunks(conn, path, 4*crowdBodyBytes, 64<<10, "") }},
-		"f heads without end": {crowdConnections, func(conn io.Writer, index int) {
+		"e sent over the limit": {*crowdBodies, func(conn io.Writer, _ int) { sendChunks(conn, path, 4*crowdBodyBytes, 64<<10, "") }},
+		"f heads without end": {*crowdConnections, func(conn io.Writer, index int) {
 			if index%2 == 0 {
 				_, _ = io.WriteString(conn, "POST "+path+" HTTP/1.1\r\nHost: desk.example\r\n"+strings.Repeat("Field: "+strings.Repeat("v", 100)+"\r\n", 100))
 			}
@@ -158,7 +161,7 @@
 	for _, other := range crowds(path) {
 		all = append(all, other)
 	}
-	return crowd{crowdConnections, func(conn io.Writer, index int) { all[index%len(all)].send(conn, index/len(all)) }}
+	return crowd{*crowdConnections, func(conn io.Writer, index int) { all[index%len(all)].send(conn, index/len(all)) }}
 }
 
 // meetCrowd sends the crowd to the address of the process and checks what must hold.
@@ -209,8 +212,8 @@
 	<-stopped
 	resident := p.peakMemoryMiB()
 	c.Logf("resident memory %d MB, descriptors %d", resident, descriptors.Load())
-	c.Check(resident <= crowdMemoryMiB, qt.IsTrue, qt.Commentf("resident memory of %d MB", resident))
-	c.Check(descriptors.Load() <= crowdDescriptors, qt.IsTrue, qt.Commentf("%d open descriptors", descriptors.Load()))
+	c.Check(resident <= *crowdMemoryMiB, qt.IsTrue, qt.Commentf("resident memory of %d MB", resident))
+	c.Check(descriptors.Load() <= int64(crowdDescriptorsPerMiB**crowdMemoryMiB), qt.IsTrue, qt.Commentf("%d open descriptors", descriptors.Load()))
 	select {
 	case <-p.exited:
 		c.Errorf("the process has ended: %s", p.log.String())
@@ -292,7 +295,7 @@
 		"listen": map[string]string{"callers": p.callerAddress, "probes": p.probeAddress, "peers": p.ports["peers"], "metrics": p.ports["metrics"]},
 		"times":  map[string]string{"revoke": "5s", "apply": "2s", "grace": "8s"},
 		"budget": map[string]any{"ratio": 0.2, "slack": 100},
-		"limits": map[string]any{"memory": crowdMemoryMiB, "header": "3s", "idle": "15s"},
+		"limits": map[string]any{"memory": *crowdMemoryMiB, "header": "3s", "idle": "15s"},
 	})
 	p.ordinary = func(client string) (int, error) {
 		return sendOrdinary(client, "http://"+p.callerAddress+"/read/x", "desk.example", "key-one")
@@ -350,5 +353,5 @@
 
 // serveCrowdLimits returns the limits in the settings of serve.
 func serveCrowdLimits() map[string]any {
-	return map[string]any{"body": crowdBodyBytes, "buffer": crowdMemoryMiB << 18, "header": "3s", "idle": "15s"}
+	return map[string]any{"memory": *crowdMemoryMiB, "body": crowdBodyBytes, "buffer": *crowdMemoryMiB << 18, "header": "3s", "idle": "15s"}
 }
--- a/cmd/dragonflypass/relay.go
+++ b/cmd/dragonflypass/relay.go
@@ -15,9 +15,9 @@
 )
 
 const (
-	// relayMemoryShare is the fraction of the memory in the settings that becomes the Go runtime's soft memory limit.
-	relayMemoryShare = 0.5
-	mebibyte         = 1 << 20
+	// memoryShare is the fraction of the memory in the settings that becomes the Go runtime's soft memory limit.
+	memoryShare = 0.5
+	mebibyte    = 1 << 20
 )
 
 func newRelayCommand() *cobra.Command {
@@ -41,7 +41,7 @@
 	if err != nil {
 		return err
 	}
-	debug.SetMemoryLimit(int64(relayMemoryShare * float64(settings.Limits.MemoryMiB) * mebibyte))
+	debug.SetMemoryLimit(int64(memoryShare * float64(settings.Limits.MemoryMiB) * mebibyte))
 	var node *assembler.RelayNode
 	app := fx.New(
 		assembler.RelayModule(settings, os.Stdout),
--- a/cmd/dragonflypass/serve.go
+++ b/cmd/dragonflypass/serve.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"fmt"
 	"os"
+	"runtime/debug"
 	"syscall"
 	"time"
 
@@ -39,6 +40,9 @@
 	if err != nil {
 		return err
 	}
+	if settings.Limits.MemoryMiB > 0 {
+		debug.SetMemoryLimit(int64(memoryShare * float64(settings.Limits.MemoryMiB) * mebibyte))
+	}
 	var node *assembler.Node
 	app := fx.New(
 		assembler.Module(settings, os.Stderr),
--- a/core/admitter/admitter.go
+++ b/core/admitter/admitter.go
@@ -16,15 +16,12 @@
 	limitRetryAfter = time.Second
 )
 
-// Admitter enforces the limits of client accounts and the memory limit for buffered request bodies.
+// Admitter enforces the limits of client accounts.
 type Admitter struct {
 	Timer dragonflypass.Timer
-	// Budget is the maximum total size of buffered request bodies in bytes.
-	Budget int64
 
-	mutex         locker.Mutex
-	bufferedBytes int64
-	usages        map[dragonflypass.AccountID]*usage
+	mutex  locker.Mutex
+	usages map[dragonflypass.AccountID]*usage
 }
 
 type usage struct {
@@ -40,21 +37,6 @@
 	}
 }
 
-// Reserve reserves bytes of the budget for request bodies; free releases them. It refuses the request if the budget is exhausted.
-func (a *Admitter) Reserve(bytes int64) (free func(), refusal *dragonflypass.Refusal) {
-	a.mutex.Lock()
-	defer a.mutex.Unlock()
-	if a.bufferedBytes+bytes > a.Budget {
-		return nil, dragonflypass.Refuse(dragonflypass.ReasonBusy, limitRetryAfter, "the buffer for request bodies is full")
-	}
-	a.bufferedBytes += bytes
-	return once(func() {
-		a.mutex.Lock()
-		defer a.mutex.Unlock()
-		a.bufferedBytes -= bytes
-	}), nil
-}
-
 // Admit counts a request of the given size in tokens against the account's limits; end must be called when the request
 // ends. It refuses the request if the account has reached a limit.
 func (a *Admitter) Admit(account *dragonflypass.ClientAccount, tokens int) (end func(), refusal *dragonflypass.Refusal) {
@@ -113,10 +95,3 @@
 		}
 	}
 }
-
-// Buffered returns the total size of buffered request bodies in bytes.
-func (a *Admitter) Buffered() int64 {
-	a.mutex.Lock()
-	defer a.mutex.Unlock()
-	return a.bufferedBytes
-}
--- a/core/admitter/doc.go
+++ b/core/admitter/doc.go
@@ -1,3 +1,2 @@
-// Package admitter enforces the limits of client accounts and the limit on the memory
-// of buffered request bodies at one entry VM.
+// Package admitter enforces the limits of client accounts at one entry VM.
 package admitter
--- a/core/composer/composer.go
+++ b/core/composer/composer.go
@@ -64,8 +64,6 @@
 	OutcomeRetention time.Duration
 	// Shards is the number of claim streams. All VMs must use the same number.
 	Shards int
-	// BufferLimit is the limit on the total size of all buffered request bodies, in bytes.
-	BufferLimit int64
 }
 
 // Defaults returns the default options for a VM.
@@ -83,7 +81,6 @@
 		LogRetention:       24 * time.Hour,
 		OutcomeRetention:   72 * time.Hour,
 		Shards:             4,
-		BufferLimit:        256 << 20,
 	}
 }
 
@@ -113,7 +110,7 @@
 	n.Quarantiner.Timer, n.Quarantiner.Meter, n.Quarantiner.Logger = ports.Timer, ports.Meter, ports.Logger
 	n.RetryBudget = retrier.New()
 	n.Admitter = admitter.New()
-	n.Admitter.Timer, n.Admitter.Budget = ports.Timer, options.BufferLimit
+	n.Admitter.Timer = ports.Timer
 	n.composeMembers()
 	n.composeOwner()
 	n.composeEntry()
--- a/core/locker/locker.go
+++ b/core/locker/locker.go
@@ -22,9 +22,10 @@
 	Claims
 	Suspects
 	Loads
+	Clients
 )
 
-var orderNames = [...]string{"", "configuration", "members", "accounts", "servers", "queues", "permits", "claims", "suspects", "loads"}
+var orderNames = [...]string{"", "configuration", "members", "accounts", "servers", "queues", "permits", "claims", "suspects", "loads", "clients"}
 
 // String returns the name of the tables at this position.
 func (o Order) String() string { return orderNames[o] }
--- a/errors.go
+++ b/errors.go
@@ -43,6 +43,8 @@
 	ReasonUnknown      Reason = "unknown-outcome"
 	ReasonConflict     Reason = "conflict"
 	ReasonNoRouting    Reason = "no-routing"
+	// ReasonStalledBody means that the body of the request made no progress.
+	ReasonStalledBody Reason = "stalled-body"
 	// ReasonMoved means that another VM has taken over the servers, so that the permit request must be sent there.
 	ReasonMoved Reason = "moved"
 	// ReasonElsewhere means that the permit request should be sent to the owner of the shard in Refusal.Part.
--- a/exchange.go
+++ b/exchange.go
@@ -33,6 +33,14 @@
 	Arrived     time.Time
 	// Deadline is the time at which the caller stops waiting, zero if not given.
 	Deadline time.Time
+	// Memory accounts for what is held for the exchange, nil if nothing does.
+	Memory Memory
+}
+
+// Memory accounts for the memory that an exchange holds until it ends.
+type Memory interface {
+	// Take takes memory and reports whether there was enough.
+	Take(bytes int64) bool
 }
 
 // PromptShape describes the prompt of a request.
--- a/metrics.go
+++ b/metrics.go
@@ -69,9 +69,19 @@
 	// CountResponseCut counts the responses that this VM ended in the middle although their servers had not failed.
 	CountResponseCut Counter = "responses_cut"
 	// CountHandlerPanics counts the panics of request handlers; their callers receive no response.
-	CountHandlerPanics   Counter = "handler_panics"
-	CountLinesDropped    Counter = "log_lines_dropped"
-	CountLinesAggregated Counter = "log_lines_gathered"
+	CountHandlerPanics Counter = "handler_panics"
+	// CountBodyRefused counts the request bodies and responses for which there was no place or memory, CountBodyEvicted the
+	// bodies without progress that gave way to others, and CountBodyStalled those that made no progress for the longest time
+	// allowed.
+	CountBodyRefused Counter = "bodies_refused"
+	CountBodyEvicted Counter = "bodies_evicted"
+	CountBodyStalled Counter = "bodies_stalled"
+	// CountConnectionRefused counts the connections that were closed at once, and CountConnectionEvicted those without a
+	// request that gave way to others.
+	CountConnectionRefused Counter = "connections_refused"
+	CountConnectionEvicted Counter = "connections_evicted"
+	CountLinesDropped      Counter = "log_lines_dropped"
+	CountLinesAggregated   Counter = "log_lines_gathered"
 )
 
 // The measured durations.
