--- a/core/balancer/balancer.go
+++ b/core/balancer/balancer.go
@@ -40,6 +40,8 @@
 	Throttler *throttler.Throttler
 	// Evacuated reports whether the servers of the zone must receive no new requests.
 	Evacuated func(zone dragonflypass.AvailabilityZone) bool
+	// BodyLimit is the maximum size in bytes of the request bodies that this VM has in flight at one server, zero for no limit.
+	BodyLimit int64
 
 	mutex   locker.Mutex
 	servers map[dragonflypass.ServerID]*serverLoad
@@ -49,6 +51,8 @@
 type serverLoad struct {
 	// inFlight is the number of requests that this VM has in flight at the server.
 	inFlight int
+	// bodyBytes is the size of their bodies.
+	bodyBytes int64
 	// othersInFlight is the number of requests from other VMs, according to the server's last load report, and
 	// reportedAt is the time of that report.
 	othersInFlight int
@@ -65,17 +69,17 @@
 	}
 }
 
-// Pick selects the server with the lowest cost and counts the request as in flight there; ok is false if all
-// servers are excluded, expect no new requests or are in evacuated zones, or may receive no request yet
-// because they are warming up.
-func (b *Balancer) Pick(entries []dragonflypass.ServerEntry, excluded []dragonflypass.ServerID) (best dragonflypass.ServerEntry, ok bool) {
+// Pick selects the server with the lowest cost and counts the request, with a body of that size, as in flight there; ok is
+// false if all servers are excluded, expect no new requests, are in evacuated zones, hold too many bytes, or may receive no
+// request yet because they are warming up.
+func (b *Balancer) Pick(entries []dragonflypass.ServerEntry, excluded []dragonflypass.ServerID, bodyBytes int64) (best dragonflypass.ServerEntry, ok bool) {
 	now := b.Timer.Now()
 	b.mutex.Lock()
 	defer b.mutex.Unlock()
 	var lowestCost float64
 	throttled := false
 	for i := range entries {
-		if b.Evacuated(entries[i].Zone) || slices.Contains(excluded, entries[i].ID) || b.Excluder.Excluded(entries[i].ID, entries[i].Address) {
+		if b.Evacuated(entries[i].Zone) || slices.Contains(excluded, entries[i].ID) || b.Excluder.Excluded(entries[i].ID, entries[i].Address) || b.full(entries[i].ID, bodyBytes) {
 			continue
 		}
 		if !b.Throttler.MayPick(entries[i]) {
@@ -95,11 +99,18 @@
 	b.Throttler.RecordSent(best)
 	s := b.loadOf(best.ID)
 	s.inFlight++
+	s.bodyBytes += bodyBytes
 	s.pickedAt = now
 	b.Assessor.RecordSelection(best.ID)
 	return best, true
 }
 
+// full reports whether the server would hold too many bytes with the body. The caller must hold the mutex.
+func (b *Balancer) full(id dragonflypass.ServerID, bodyBytes int64) bool {
+	s, ok := b.servers[id]
+	return ok && b.BodyLimit > 0 && s.bodyBytes > 0 && s.bodyBytes+bodyBytes > b.BodyLimit
+}
+
 // cost returns the number of requests at the server, plus penalties and a random part that breaks ties. The caller
 // must hold the mutex.
 func (b *Balancer) cost(entry *dragonflypass.ServerEntry, now time.Time) float64 {
@@ -132,14 +143,15 @@
 	return s
 }
 
-// RecordOutcome records the end of a request at the server. load is the server's load report, or nil.
-func (b *Balancer) RecordOutcome(id dragonflypass.ServerID, outcome assessor.Outcome, load *dragonflypass.LoadReport) {
+// RecordOutcome records the end of a request with a body of that size at the server. load is the server's load report, or nil.
+func (b *Balancer) RecordOutcome(id dragonflypass.ServerID, outcome assessor.Outcome, load *dragonflypass.LoadReport, bodyBytes int64) {
 	b.Assessor.RecordOutcome(id, outcome)
 	now := b.Timer.Now()
 	b.mutex.Lock()
 	defer b.mutex.Unlock()
 	s := b.loadOf(id)
 	s.inFlight = max(0, s.inFlight-1)
+	s.bodyBytes = max(0, s.bodyBytes-bodyBytes)
 	if load != nil {
 		// The report includes the request that it came with, which is no longer in flight.
 		s.othersInFlight = max(0, load.Running+load.Queued-s.inFlight-1)
