--- a/core/relayer/attempt.go
+++ b/core/relayer/attempt.go
@@ -85,7 +85,7 @@
 	}
 	if err != nil {
 		a.failedHelper = failedHelper.Server
-		return eris.Wrapf(dragonflypass.ErrRefused, "no memory reserved at %s: %v", failedHelper.Server, err)
+		return errors.Join(errNoHelperMemory, eris.Wrapf(dragonflypass.ErrRefused, "no memory reserved at %s: %v", failedHelper.Server, err))
 	}
 	request := j.backendRequest(a.permit.Server)
 	request.Address, request.Helpers, request.Urgency = a.permit.Address, a.permit.Helpers, a.permit.Priority
--- a/core/relayer/buffered.go
+++ b/core/relayer/buffered.go
@@ -75,6 +75,10 @@
 	if nothingSent(err) {
 		return ctx.Err() == nil
 	}
+	if errors.Is(err, errNoHelperMemory) && j.unreserved < maxUnreserved {
+		j.unreserved++
+		return ctx.Err() == nil
+	}
 	return r.mayRetry(ctx, j)
 }
 
--- a/core/relayer/relayer.go
+++ b/core/relayer/relayer.go
@@ -32,6 +32,8 @@
 	errServerUnreachable = eris.New("relayer: the server of the stream is unreachable")
 	// errEvacuated ends an attempt that has sent nothing to its server because the zone of one of its servers is evacuated.
 	errEvacuated = eris.New("relayer: the zone of the server is evacuated")
+	// errNoHelperMemory means that a helper refused to reserve memory, so that the request was not sent.
+	errNoHelperMemory = eris.New("relayer: a helper has no memory for the prompt")
 	// errLeaving cancels an exchange that has not ended when the VM shuts down.
 	errLeaving = eris.New("relayer: the VM is leaving")
 )
@@ -49,6 +51,9 @@
 	shutdownAcceptTime = 2800 * time.Millisecond
 	// maxLoadTime is the maximum time that a request waits for the route table and the registry to be read.
 	maxLoadTime = 500 * time.Millisecond
+	// maxUnreserved is the number of attempts of one request that may end because a helper has no memory. They are no retries:
+	// nothing was sent.
+	maxUnreserved = 4
 	// sweepInterval is the time between two sweeps of the open streams.
 	sweepInterval = 100 * time.Millisecond
 )
@@ -157,7 +162,9 @@
 	// that reported that they did not.
 	attemptCount int
 	refusals     int
-	excluded     []dragonflypass.ServerID
+	// unreserved is the number of attempts that ended because a helper had no memory.
+	unreserved int
+	excluded   []dragonflypass.ServerID
 	// maybeExecuted is set once a server may have executed the request.
 	maybeExecuted bool
 	// headWritten is set once the head of a response has been forwarded to the caller.
