Predict model servers at the speed that they have shown

predictor.Engine.Slowdown was always 1. The owner now compares the time of each first token, the number of passes of each answer and streams given up while overdue with its predictions, records the ratios through a function field and sets Slowdown from the learned pace. The wait at a server that decides whether a long prompt may be placed there no longer counts the server's slowness as a wait. A permit request may carry the output that the entry VM expects: memory is reserved for more than MeanOutputTokens if answers are usually longer, never for less, and the check against the deadline uses the mean. The defaults change nothing.

TestSlowServerIsPredictedSlower: a server three times slower than its cost model is predicted more than 1.5 times slower after 60 prompts, and gets less than a quarter of them while three others are idle.

--- a/adapter/messenger/message.go
+++ b/adapter/messenger/message.go
@@ -88,6 +88,9 @@
 	MaxEventGap     int64    `cbor:"gap,omitempty"`
 	// Parts is ignored by the versions that do not know it.
 	Parts []string `cbor:"parts,omitempty"`
+	// MeanOutput and HighOutput are ignored by the versions that do not know them.
+	MeanOutput int `cbor:"mean,omitempty"`
+	HighOutput int `cbor:"high,omitempty"`
 }
 
 type permit struct {
@@ -222,7 +225,7 @@
 		Deadline: toRemaining(r.Deadline, now), LatestStart: toRemaining(r.LatestStart, now), FirstTokenDeadline: toRemaining(r.FirstTokenDeadline, now),
 		StreamFailures: r.StreamFailures, Begun: r.Begun, PinnedServer: string(r.PinnedServer), Group: r.Group,
 		Service: string(r.Service), Zone: string(r.Part.Zone), Index: r.Part.Index, Moved: r.Moved, ID: r.ID, Priority: r.Priority, MaxEventGap: int64(r.MaxEventGap),
-		Parts: toStrings(r.Parts),
+		Parts: toStrings(r.Parts), MeanOutput: r.ExpectedOutput.Mean, HighOutput: r.ExpectedOutput.High,
 	}
 	for _, server := range r.ExcludedServers {
 		w.ExcludedServers = append(w.ExcludedServers, string(server))
@@ -239,7 +242,8 @@
 		Deadline: fromRemaining(w.Deadline, now), LatestStart: fromRemaining(w.LatestStart, now), FirstTokenDeadline: fromRemaining(w.FirstTokenDeadline, now),
 		StreamFailures: w.StreamFailures, Begun: w.Begun, PinnedServer: dragonflypass.ServerID(w.PinnedServer), Group: w.Group,
 		Service: dragonflypass.ServiceID(w.Service), Part: toPart(w.Zone, w.Index), Moved: w.Moved, ID: w.ID, Priority: w.Priority, MaxEventGap: time.Duration(w.MaxEventGap),
-		Parts: fromStrings[dragonflypass.SharedPart](w.Parts),
+		Parts:          fromStrings[dragonflypass.SharedPart](w.Parts),
+		ExpectedOutput: dragonflypass.OutputEstimate{Mean: max(0, w.MeanOutput), High: max(0, w.HighOutput)},
 	}
 	for _, server := range w.ExcludedServers {
 		r.ExcludedServers = append(r.ExcludedServers, dragonflypass.ServerID(server))
--- a/core/allocator/allocator.go
+++ b/core/allocator/allocator.go
@@ -57,6 +57,10 @@
 	// Leaving reports whether the server has said that it leaves, and RecordLeaving records that another VM was told so.
 	Leaving       func(server dragonflypass.ServerEntry) bool
 	RecordLeaving func(server dragonflypass.ServerEntry)
+	// Pace returns the factor by which the server is slower than its cost model, by default 1. RecordPace records how much
+	// longer than predicted at a pace of 1 something took at the server, and the share of the observation that concerns it.
+	Pace       func(entry *dragonflypass.ServerEntry) float64
+	RecordPace func(entry *dragonflypass.ServerEntry, ratio, share float64)
 	// Balancer moves requests to other shards; nil if each service has a single one.
 	Balancer Balancer
 
@@ -90,6 +94,7 @@
 	short bool
 	// prefilled is set once the prompt is known to be processed.
 	prefilled bool
+	pace      paceObservation
 	// lastReported is the time of the last heartbeat that listed the stream, or of the grant before the first one.
 	lastReported time.Time
 }
@@ -109,6 +114,8 @@
 		RegistryLoaded: func() bool { return true },
 		Leaving:        func(dragonflypass.ServerEntry) bool { return false },
 		RecordLeaving:  func(dragonflypass.ServerEntry) {},
+		Pace:           func(*dragonflypass.ServerEntry) float64 { return 1 },
+		RecordPace:     func(*dragonflypass.ServerEntry, float64, float64) {},
 		mutex:          locker.Mutex{Order: locker.Servers},
 		clusters:       make(map[dragonflypass.Shard]*cluster),
 		permits:        make(map[dragonflypass.StreamID]*permit),
@@ -207,6 +214,7 @@
 	}
 	p.server.engine.AlignPass(at)
 	p.server.engine.AddDecode(p.decodeTask(at), now)
+	a.observePrefill(p, at)
 	results := a.dispatch(p.cluster, now)
 	a.mutex.Unlock()
 	a.notify(results)
@@ -221,6 +229,7 @@
 		a.mutex.Unlock()
 		return
 	}
+	a.observeRelease(p, release, now.Add(-transitTime))
 	a.removePermit(p, now)
 	for _, s := range p.servers() {
 		if slices.Contains(release.Leaving, s.entry.ID) {
@@ -327,6 +336,7 @@
 	for _, p := range a.permits {
 		a.extendOverdue(p, now)
 	}
+	a.updatePaces()
 	results := a.expireQueued(now)
 	for _, c := range a.clusters {
 		if len(c.queue) > 0 {
@@ -373,6 +383,7 @@
 		return
 	}
 	remaining := max(overdueDelay, time.Duration(overdueFraction*float64(now.Sub(p.grantedAt))))
+	p.pace.keepDue(p.firstToken)
 	p.firstToken = now.Add(remaining)
 	for _, s := range p.servers() {
 		s.engine.Advance(now)
--- a/core/allocator/memory.go
+++ b/core/allocator/memory.go
@@ -38,7 +38,7 @@
 
 // requiredTokens returns the memory that the request is expected to need, in tokens.
 func (c *cluster) requiredTokens(q *queuedRequest) int {
-	return q.request.PromptTokens + c.expectedOutput(q)
+	return q.request.PromptTokens + max(c.expectedOutput(q), q.request.ExpectedOutput.High)
 }
 
 // expectedOutput returns the expected length of the request's answer in tokens.
@@ -48,3 +48,16 @@
 	}
 	return c.costModel.MeanOutputTokens
 }
+
+// minOutput returns the length of the request's answer in tokens that is expected to take the least time. The caller's own
+// estimate may be far off, so that it is used only as far as answers of other requests confirm it.
+func (c *cluster) minOutput(q *queuedRequest) int {
+	if known := q.request.ExpectedOutput.Mean; known > 0 {
+		return known
+	}
+	tokens := c.expectedOutput(q)
+	if hint := q.request.ExpectedTokens; hint > 0 {
+		tokens = min(tokens, hint)
+	}
+	return tokens
+}
--- a/core/allocator/place.go
+++ b/core/allocator/place.go
@@ -203,11 +203,7 @@
 
 // minDecodeTime returns the minimum time that the generation of the answer takes after the prompt has been processed.
 func (c *cluster) minDecodeTime(q *queuedRequest) time.Duration {
-	tokens := c.expectedOutput(q)
-	if hint := q.request.ExpectedTokens; hint > 0 {
-		tokens = min(tokens, hint)
-	}
-	return time.Duration(minAnswerShare * float64(tokens) * float64(c.costModel.StepTime))
+	return time.Duration(minAnswerShare * float64(c.minOutput(q)) * float64(c.costModel.StepTime))
 }
 
 // occupiesTooLong reports whether the prompt, split into the given number of parts, would occupy its servers for longer
@@ -359,7 +355,8 @@
 func (c *cluster) evaluate(q *queuedRequest, s *server, parts int, short bool, now time.Time) option {
 	task := predictor.PrefillTask{Stream: q.request.Stream, Tokens: q.request.PromptTokens, Parts: parts}
 	f := s.backlog.Forecast(task)
-	o := option{server: s, prefillEnd: f.PrefillEnd, cost: f.PrefillEnd.Sub(now), wait: f.PrefillEnd.Sub(now) - q.prefillTime/time.Duration(parts) - c.costModel.PassTime(1, 0)}
+	ownTime := q.prefillTime/time.Duration(parts) + c.costModel.PassTime(1, 0)
+	o := option{server: s, prefillEnd: f.PrefillEnd, cost: f.PrefillEnd.Sub(now), wait: f.PrefillEnd.Sub(now) - time.Duration(s.engine.Slowdown*float64(ownTime))}
 	if gapLimit := s.backlog.EventGapLimit(); gapLimit > 0 && f.LongestPass > gapLimit-eventGapMargin {
 		o.delayedStreams = float64(s.engine.DelayedStreams(f.LongestPass+eventGapMargin, q.request.Priority))
 	}
--- a/core/predictor/engine.go
+++ b/core/predictor/engine.go
@@ -69,6 +69,8 @@
 	passEnd   time.Time
 	// decoding is set if streams generate in the pass in progress.
 	decoding bool
+	// decodePasses is the number of passes with generating streams that have ended.
+	decodePasses int
 }
 
 // New returns the engine of an idle server.
@@ -175,6 +177,9 @@
 
 // endPass completes the pass in progress and returns the time of its end.
 func (e *Engine) endPass() time.Time {
+	if e.decoding {
+		e.decodePasses++
+	}
 	for i := range e.prefills {
 		if t := &e.prefills[i]; t.plannedTokens > 0 {
 			t.processedTokens, t.plannedTokens = t.plannedTokens, 0
@@ -257,6 +262,9 @@
 	}
 }
 
+// DecodePasses returns the number of passes with generating streams that have ended according to the prediction.
+func (e *Engine) DecodePasses() int { return e.decodePasses }
+
 // PassEnd returns the end of the pass in progress. While the server is idle, it returns the time at which the next
 // stream starts to generate, zero if there is none.
 func (e *Engine) PassEnd() time.Time { return e.passEnd }
--- a/permit.go
+++ b/permit.go
@@ -20,6 +20,8 @@
 	OutputTokens int
 	// ExpectedTokens is the number of tokens that are likely to be generated.
 	ExpectedTokens int
+	// ExpectedOutput is the length of the answer that the entry VM expects from those of other requests, zero if it knows none.
+	ExpectedOutput OutputEstimate
 	// TimePerToken is the estimated time per generated token, above the mean of recent requests.
 	TimePerToken time.Duration
 	Fingerprint  Fingerprint
