Exchange learned costs and paces in heartbeats

A VM of a large fleet sees few requests of its own: on a fleet of 33 VMs each sends a plain server a request in ten seconds. Versions that do not know them ignore them.

--- a/adapter/messenger/heartbeat.go
+++ b/adapter/messenger/heartbeat.go
@@ -37,6 +37,10 @@
 	Parts []partStatus `cbor:"parts,omitempty"`
 	// Requests is ignored by the versions that do not know it.
 	Requests []requestStatus `cbor:"requests,omitempty"`
+	// Costs is ignored by the versions that do not know it.
+	Costs []costReport `cbor:"costs,omitempty"`
+	// Paces is ignored by the versions that do not know it.
+	Paces []paceReport `cbor:"paces,omitempty"`
 }
 
 // shardLoad is encoded as an array to save space.
@@ -131,6 +135,12 @@
 	for _, s := range hb.Requests {
 		w.Requests = append(w.Requests, toRequestStatus(s, now))
 	}
+	for _, report := range hb.Costs {
+		w.Costs = append(w.Costs, toCostReport(report))
+	}
+	for _, report := range hb.Paces {
+		w.Paces = append(w.Paces, toPaceReport(report))
+	}
 	if len(hb.ZoneSizes) > 0 {
 		w.ZoneSizes = make(map[string]int, len(hb.ZoneSizes))
 		for zone, size := range hb.ZoneSizes {
@@ -229,6 +239,12 @@
 	for _, s := range w.Requests {
 		hb.Requests = append(hb.Requests, s.status(now))
 	}
+	for _, report := range w.Costs {
+		hb.Costs = append(hb.Costs, report.report())
+	}
+	for _, report := range w.Paces {
+		hb.Paces = append(hb.Paces, report.report())
+	}
 	if len(w.ZoneSizes) > 0 {
 		hb.ZoneSizes = make(map[dragonflypass.AvailabilityZone]int, len(w.ZoneSizes))
 		for zone, size := range w.ZoneSizes {
--- a/adapter/messenger/messenger_test.go
+++ b/adapter/messenger/messenger_test.go
@@ -203,6 +203,11 @@
 			{Fingerprint: dragonflypass.Fingerprint{Account: "a", Model: "m", Body: dragonflypass.Digest{1}}, Crashes: []dragonflypass.CrashID{{Server: "s", Epoch: 4}}, LastCrash: time.Now().Add(-time.Hour)},
 			{Fingerprint: dragonflypass.Fingerprint{Account: "b"}, CompletedAt: time.Now().Add(-time.Hour)},
 		},
+		Costs: []dragonflypass.CostReport{{
+			Key:  dragonflypass.CostKey{Level: dragonflypass.CostOfPart, Service: "s", Route: "r", Class: dragonflypass.ClassLong, Account: "a", Part: "p"},
+			Time: time.Second, TimeSpread: time.Millisecond, TimeCount: 2, Output: 3, OutputSpread: 4, OutputCount: 5,
+		}},
+		Paces: []dragonflypass.PaceReport{{Server: "s", Service: "x", Zone: "z", StartedAt: 7, Mean: 1.5, Count: 2}},
 	}
 	got, err := client.ExchangeHeartbeat(t.Context(), vm, sent)
 	c.Assert(err, qt.IsNil)
@@ -210,6 +215,8 @@
 	// The deadline is sent as the time remaining, because the clocks of two VMs differ.
 	c.Check(got.InheritedStreams, qt.CmpEquals(cmpopts.EquateApproxTime(time.Minute)), sent.InheritedStreams)
 	c.Check(got.Watermarks, qt.DeepEquals, sent.Watermarks)
+	c.Check(got.Costs, qt.DeepEquals, sent.Costs)
+	c.Check(got.Paces, qt.DeepEquals, sent.Paces)
 	c.Check(got.Parts, qt.CmpEquals(cmpopts.EquateApproxTime(time.Minute)), sent.Parts)
 	c.Check(got.Requests, qt.CmpEquals(cmpopts.EquateApproxTime(time.Minute)), sent.Requests)
 	c.Check(got.Loads[0].Wait, qt.Equals, [dragonflypass.ClassCount]time.Duration{time.Second, 0, 0, time.Hour})
--- a/core/detector/detector.go
+++ b/core/detector/detector.go
@@ -72,6 +72,10 @@
 	OpenStreams func(owner dragonflypass.VMID) (granted []uint64, inherited []dragonflypass.OpenStream)
 	// ShardLoads returns the load summaries of the shards that this VM owns.
 	ShardLoads func() []dragonflypass.ShardLoad
+	// Costs returns what this VM has learned from its own requests about the cost of requests and has not reported to the other VM.
+	Costs func(to dragonflypass.VMID) []dragonflypass.CostReport
+	// Paces returns what this VM has observed of the speed of servers to which other VMs send requests too.
+	Paces func() []dragonflypass.PaceReport
 	// Statuses returns what other VMs should know of shared parts of prompts, and of requests, that crash servers.
 	Statuses func() ([]dragonflypass.PartStatus, []dragonflypass.RequestStatus)
 	// Received is called with each heartbeat from another VM, with no lock held.
@@ -138,6 +142,8 @@
 		MissingUpdates:    func([]dragonflypass.Watermark, bool) []dragonflypass.Watermark { return nil },
 		HeartbeatAnswered: func(time.Duration, dragonflypass.Heartbeat) {},
 		ShardLoads:        func() []dragonflypass.ShardLoad { return nil },
+		Costs:             func(dragonflypass.VMID) []dragonflypass.CostReport { return nil },
+		Paces:             func() []dragonflypass.PaceReport { return nil },
 		Statuses:          func() ([]dragonflypass.PartStatus, []dragonflypass.RequestStatus) { return nil, nil },
 		Partners:          func() []dragonflypass.VMID { return nil },
 		Sources:           func() []dragonflypass.VMID { return nil },
--- a/core/detector/exchange.go
+++ b/core/detector/exchange.go
@@ -234,6 +234,8 @@
 		ShardLoads:       shardLoads,
 		Parts:            parts,
 		Requests:         requests,
+		Costs:            d.Costs(to.ID),
+		Paces:            d.Paces(),
 		Incarnation:      d.Incarnation,
 		ConfigOffset:     d.ConfigOffset(),
 		Loads:            d.Loads(),
--- a/vm.go
+++ b/vm.go
@@ -80,6 +80,10 @@
 	// Requests are the statuses of the requests that the sender has quarantined or will at the next crash, and of those that
 	// were quarantined by mistake.
 	Requests []RequestStatus
+	// Costs are what the sender has learned from its own requests about the cost of requests.
+	Costs []CostReport
+	// Paces are what the sender has observed itself of the speed of servers to which the receiver sends requests too.
+	Paces []PaceReport
 }
 
 // PeerStatus is the liveness of an entry VM as observed by another one.
