Place plain requests by predicted completion, and use learned outputs

A plain request went to the server with the fewest requests in flight, whatever those cost, how many slots were free and how slow the server was. The balancer now predicts the completion: no wait while the server has a free slot, else the remaining work over its slots, then the appraised work times the pace of the server, plus the cost of another zone. What is known of the load is multiplied by a random factor with a mean of 1, since VMs that follow the same outdated reports choose the same server. A request without an appraisal is placed as before. The relayer records processing times, paces and outputs, sends the expected output with permit requests, and reports the tokens of an answer to the owner unless the caller was slow to read.

TestSlowPlainServerGetsLittle: the slow server gets less than 20 of 120 requests.

--- a/core/balancer/balancer.go
+++ b/core/balancer/balancer.go
@@ -1,6 +1,7 @@
 package balancer
 
 import (
+	"cmp"
 	"math/rand/v2"
 	"slices"
 	"time"
@@ -18,14 +19,6 @@
 	serverLimit = 256
 	// idleTTL is the time after its last selection at which a server without requests in flight may be removed.
 	idleTTL = time.Minute
-	// maxTieBreakCost is the maximum random part of a server's cost, in requests; it keeps the VMs from all selecting
-	// the same server.
-	maxTieBreakCost = 0.2
-	// otherZoneCost is added, in requests, for a server in another availability zone.
-	otherZoneCost = 0.3
-	// ejectedCost is added, in requests, for an unhealthy server, so that it is only selected if there is no healthy
-	// one.
-	ejectedCost = 1000
 )
 
 // Balancer selects servers and tracks the load of each.
@@ -34,74 +27,80 @@
 	Timer    dragonflypass.Timer
 	Assessor *assessor.Assessor
 	Excluder *excluder.Excluder
+	// Pace returns the factor by which the server is slower than others, 1 by default.
+	Pace func(entry *dragonflypass.ServerEntry) float64
+	// Random returns a random number in [0, 1).
+	Random func() float64
 
-	mutex   locker.Mutex
-	servers map[dragonflypass.ServerID]*serverLoad
+	mutex    locker.Mutex
+	servers  map[dragonflypass.ServerID]*serverLoad
+	sequence uint64
 }
 
 // serverLoad is the load of one server.
 type serverLoad struct {
-	// inFlight is the number of requests that this VM has in flight at the server.
-	inFlight int
-	// othersInFlight is the number of requests from other VMs, according to the server's last load report, and
-	// reportedAt is the time of that report.
+	// requests are the requests that this VM has in flight at the server.
+	requests []inFlight
+	// othersInFlight is the number of requests from other VMs, according to the server's last load report, slots the number of
+	// requests that the server runs at a time, zero if it has not reported it, and reportedAt the time of that report.
 	othersInFlight int
+	slots          int
 	reportedAt     time.Time
 	// pickedAt is the time at which the server was last selected.
 	pickedAt time.Time
 }
 
+// Choice is a selected server, with what was predicted for the request there.
+type Choice struct {
+	Entry dragonflypass.ServerEntry
+	// Work is the appraised processing time at a server of the usual speed, zero if it is not known.
+	Work time.Duration
+	// Pace is the factor by which the server is slower, and Wait the predicted wait until it starts the request.
+	Pace float64
+	Wait time.Duration
+
+	sequence uint64
+}
+
 // New returns a balancer that tracks no servers.
 func New() *Balancer {
-	return &Balancer{mutex: locker.Mutex{Order: locker.Servers}, servers: make(map[dragonflypass.ServerID]*serverLoad)}
+	return &Balancer{
+		Pace:   func(*dragonflypass.ServerEntry) float64 { return 1 },
+		Random: rand.Float64,
+		mutex:  locker.Mutex{Order: locker.Servers}, servers: make(map[dragonflypass.ServerID]*serverLoad),
+	}
 }
 
-// Pick selects the server with the lowest cost and counts the request as in flight there; ok is false if all
-// servers are excluded or expect no new requests.
-func (b *Balancer) Pick(entries []dragonflypass.ServerEntry, excluded []dragonflypass.ServerID) (best dragonflypass.ServerEntry, ok bool) {
+// Pick selects the server with the lowest cost for a request of the appraised processing time, zero if it is not known, and
+// counts the request as in flight there; ok is false if all servers are excluded or expect no new requests.
+func (b *Balancer) Pick(entries []dragonflypass.ServerEntry, excluded []dragonflypass.ServerID, work time.Duration) (best Choice, ok bool) {
 	now := b.Timer.Now()
 	b.mutex.Lock()
 	defer b.mutex.Unlock()
-	var lowestCost float64
+	var lowest time.Duration
+	chosen := -1
 	for i := range entries {
 		if slices.Contains(excluded, entries[i].ID) || b.Excluder.Excluded(entries[i].ID, entries[i].Address) {
 			continue
 		}
-		if cost := b.cost(&entries[i], now); !ok || cost < lowestCost {
-			best, lowestCost, ok = entries[i], cost, true
+		candidate := b.predict(&entries[i], work, now)
+		if chosen < 0 || candidate.cost < lowest {
+			chosen, lowest = i, candidate.cost
+			best.Pace, best.Wait = candidate.pace, candidate.wait
 		}
 	}
-	if !ok {
-		return best, false
+	if chosen < 0 {
+		return Choice{}, false
 	}
-	s := b.loadOf(best.ID)
-	s.inFlight++
+	b.sequence++
+	best.Entry, best.Work, best.sequence = entries[chosen], work, b.sequence
+	s := b.loadOf(best.Entry.ID)
+	s.requests = append(s.requests, inFlight{sequence: b.sequence, startedAt: now, work: scale(cmp.Or(work, unknownWork), best.Pace)})
 	s.pickedAt = now
-	b.Assessor.RecordSelection(best.ID)
+	b.Assessor.RecordSelection(best.Entry.ID)
 	return best, true
 }
 
-// cost returns the number of requests at the server, plus penalties and a random part that breaks ties. The caller
-// must hold the mutex.
-func (b *Balancer) cost(entry *dragonflypass.ServerEntry, now time.Time) float64 {
-	cost := maxTieBreakCost * rand.Float64()
-	if entry.Zone != b.Zone {
-		cost += otherZoneCost
-	}
-	if !b.Assessor.Healthy(entry.ID) {
-		cost += ejectedCost
-	}
-	s, ok := b.servers[entry.ID]
-	if !ok {
-		return cost
-	}
-	cost += float64(s.inFlight)
-	if now.Sub(s.reportedAt) < loadReportTTL {
-		cost += float64(s.othersInFlight)
-	}
-	return cost
-}
-
 // loadOf returns the server's load and starts tracking the server if needed. The caller must hold the mutex.
 func (b *Balancer) loadOf(id dragonflypass.ServerID) *serverLoad {
 	s, ok := b.servers[id]
@@ -113,17 +112,18 @@
 	return s
 }
 
-// RecordOutcome records the end of a request at the server. load is the server's load report, or nil.
-func (b *Balancer) RecordOutcome(id dragonflypass.ServerID, outcome assessor.Outcome, load *dragonflypass.LoadReport) {
-	b.Assessor.RecordOutcome(id, outcome)
+// RecordOutcome records the end of a request at the chosen server. load is the server's load report, or nil.
+func (b *Balancer) RecordOutcome(choice Choice, outcome assessor.Outcome, load *dragonflypass.LoadReport) {
+	b.Assessor.RecordOutcome(choice.Entry.ID, outcome)
 	now := b.Timer.Now()
 	b.mutex.Lock()
 	defer b.mutex.Unlock()
-	s := b.loadOf(id)
-	s.inFlight = max(0, s.inFlight-1)
+	s := b.loadOf(choice.Entry.ID)
+	s.end(choice.sequence)
 	if load != nil {
 		// The report includes the request that it came with, which is no longer in flight.
-		s.othersInFlight = max(0, load.Running+load.Queued-s.inFlight-1)
+		s.othersInFlight = max(0, load.Running+load.Queued-len(s.requests)-1)
+		s.slots = load.Slots
 		s.reportedAt = now
 	}
 }
@@ -135,7 +135,7 @@
 	}
 	now := b.Timer.Now()
 	for id, s := range b.servers {
-		if s.inFlight == 0 && now.Sub(s.pickedAt) > idleTTL {
+		if len(s.requests) == 0 && now.Sub(s.pickedAt) > idleTTL {
 			delete(b.servers, id)
 		}
 	}
--- a/core/composer/relay.go
+++ b/core/composer/relay.go
@@ -11,6 +11,7 @@
 	"github.com/dragonflypass/dragonflypass"
 	"github.com/dragonflypass/dragonflypass/core/acquirer"
 	"github.com/dragonflypass/dragonflypass/core/allocator"
+	"github.com/dragonflypass/dragonflypass/core/appraiser"
 	"github.com/dragonflypass/dragonflypass/core/assessor"
 	"github.com/dragonflypass/dragonflypass/core/balancer"
 	"github.com/dragonflypass/dragonflypass/core/connector"
@@ -19,6 +20,7 @@
 	"github.com/dragonflypass/dragonflypass/core/follower"
 	"github.com/dragonflypass/dragonflypass/core/handler"
 	"github.com/dragonflypass/dragonflypass/core/locker"
+	"github.com/dragonflypass/dragonflypass/core/pacer"
 	"github.com/dragonflypass/dragonflypass/core/prober"
 	"github.com/dragonflypass/dragonflypass/core/quarantiner"
 	"github.com/dragonflypass/dragonflypass/core/registrar"
@@ -82,6 +84,8 @@
 	Sharder     *sharder.Sharder
 	Budgets     *retrier.Budgets
 	Quarantiner *quarantiner.Quarantiner
+	Appraiser   *appraiser.Appraiser
+	Pacer       *pacer.Pacer
 
 	mutex locker.Mutex
 	// lastOwners maps each shard to its owner at the last change of the membership.
@@ -144,6 +148,7 @@
 	n.composeTopics()
 	n.composeServers()
 	n.composeRelayer()
+	n.composeCosts()
 	n.Detector.Subscribe(n.notifyNewOwners)
 	return n
 }
@@ -166,6 +171,8 @@
 	}
 	d.Received = func(heartbeat dragonflypass.Heartbeat) {
 		n.Quarantiner.Merge(heartbeat.Parts, heartbeat.Requests)
+		n.Appraiser.Merge(heartbeat.From.ID, heartbeat.Costs)
+		n.Pacer.Merge(heartbeat.From.ID, heartbeat.Paces)
 		n.Sharder.RecordLoads(heartbeat.ShardLoads)
 		n.Allocator.HandleHeartbeat(heartbeat)
 	}
@@ -434,7 +441,7 @@
 // Run runs the components until ctx ends. The pool and the timer must be running already.
 func (n *Relay) Run(ctx context.Context) {
 	var wg sync.WaitGroup
-	for _, run := range []func(context.Context){n.Detector.Run, n.Routing.Run, n.Registry.Run, n.Registrar.Run, n.Allocator.Run, n.Excluder.Run, n.Prober.Run, n.Quarantiner.Run, n.Relayer.Run} {
+	for _, run := range []func(context.Context){n.Detector.Run, n.Routing.Run, n.Registry.Run, n.Registrar.Run, n.Allocator.Run, n.Excluder.Run, n.Prober.Run, n.Quarantiner.Run, n.Pacer.Run, n.Relayer.Run} {
 		wg.Go(func() { run(ctx) })
 	}
 	wg.Wait()
--- a/core/composer/state.go
+++ b/core/composer/state.go
@@ -9,6 +9,7 @@
 	"github.com/dragonflypass/dragonflypass/core/allocator"
 	"github.com/dragonflypass/dragonflypass/core/assessor"
 	"github.com/dragonflypass/dragonflypass/core/excluder"
+	"github.com/dragonflypass/dragonflypass/core/pacer"
 	"github.com/dragonflypass/dragonflypass/core/quarantiner"
 	"github.com/dragonflypass/dragonflypass/core/relayer"
 	"github.com/dragonflypass/dragonflypass/core/retrier"
@@ -41,6 +42,9 @@
 	Budgets        []retrier.BudgetState
 	Suspects       []quarantiner.Suspect
 	SuspectParts   []quarantiner.SuspectPart
+	// CostKeys is the number of keys with a learned cost, and SlowServers are the servers that this VM finds slow.
+	CostKeys    int
+	SlowServers []pacer.ServerPace
 }
 
 // TopicState describes how far the node has read a topic of the store.
@@ -70,6 +74,7 @@
 		Self: n.Options.Self, Incarnation: n.Options.Incarnation, At: n.Ports.Timer.Now(), Ready: n.Ready(), Leaving: n.Detector.Leaving(),
 		Members: n.Detector.Others(), ZoneSizes: n.Detector.ZoneSizes(), Hubs: n.Detector.Hubs(), Registry: n.Registrar.All(), FailingServers: n.Assessor.FailingServers(), ExcludedServers: n.Excluder.State(), Streams: n.Relayer.State(),
 		Budgets: n.Budgets.State(), Suspects: n.Quarantiner.Suspects(), SuspectParts: n.Quarantiner.SuspectParts(),
+		CostKeys: n.Appraiser.Keys(), SlowServers: n.Pacer.SlowServers(),
 	}
 	slices.SortFunc(s.Registry, func(x, y dragonflypass.ServerEntry) int { return cmp.Compare(x.ID, y.ID) })
 	s.Servers, s.QueuedRequests = n.Allocator.State()
--- a/core/relayer/attempt.go
+++ b/core/relayer/attempt.go
@@ -23,6 +23,8 @@
 	startedAt time.Time
 	// response is nil until the head of the response has arrived.
 	response dragonflypass.BackendResponse
+	// eventCount is the number of events read.
+	eventCount int
 	// firstChunk is the first event if it was read before the attempt took over from another one, else nil.
 	firstChunk *dragonflypass.Chunk
 	// freeMemory frees the memory reserved at helpers; it is nil if none is reserved.
@@ -124,7 +126,8 @@
 	r.checkForCrash(a.ctx, j, a.permit.Server, a.startedAt, a.open.prefilled.Load(), err)
 	r.Permits.Release(a.permit, dragonflypass.PermitRelease{
 		Stream: a.permit.Stream, Server: a.permit.Server, Outcome: outcomeOf(a.ctx, err), FaultyHelper: faultyHelper(a.permit, err),
-		Leaving: permitServers(a.permit, r.Excluder.Leaving),
+		OutputTokens: r.generatedTokens(a, j),
+		Leaving:      permitServers(a.permit, r.Excluder.Leaving),
 	})
 	a.cancel(nil)
 	return err
--- a/core/relayer/buffered.go
+++ b/core/relayer/buffered.go
@@ -8,6 +8,7 @@
 
 	"github.com/dragonflypass/dragonflypass"
 	"github.com/dragonflypass/dragonflypass/core/assessor"
+	"github.com/dragonflypass/dragonflypass/core/balancer"
 )
 
 // serverErrorStatus is the lowest status with which a server reports its own failure.
@@ -40,7 +41,7 @@
 		if refusal != nil && lastResponse == nil {
 			return r.refuse(ctx, j, refusal.Reason, refusal.RetryAfter, refusal.Detail)
 		}
-		entry, ok := r.Balancer.Pick(r.Directory.Servers(j.service), j.excluded)
+		choice, ok := r.pick(j, j.excluded)
 		if (!ok || refusal != nil) && lastResponse != nil {
 			return r.writeResponse(ctx, j, lastResponse)
 		}
@@ -48,7 +49,7 @@
 			return r.refuse(ctx, j, dragonflypass.ReasonNoServer, r.retryAfter(j), "no backend server of the service is available")
 		}
 		var res result
-		for _, res = range r.sendHedged(ctx, j, entry) {
+		for _, res = range r.sendHedged(ctx, j, choice) {
 			j.recordResult(&res)
 			if res.err == nil {
 				lastResponse = res.response
@@ -94,8 +95,8 @@
 }
 
 // send sends the request to the server, reads the complete response and reports the outcome to the balancer.
-func (r *Relayer) send(ctx context.Context, j *job, entry dragonflypass.ServerEntry) result {
-	start := r.Timer.Now()
+func (r *Relayer) send(ctx context.Context, j *job, choice balancer.Choice) result {
+	start, entry := r.Timer.Now(), choice.Entry
 	request := j.backendRequest(entry.ID)
 	request.Address = entry.Address
 	resp, err := r.call(ctx, request)
@@ -120,8 +121,10 @@
 		outcome = outcomeUnlessCancelled(ctx, assessor.Failed)
 		r.checkForCrash(ctx, j, entry.ID, start, false, err)
 	}
-	r.Balancer.RecordOutcome(entry.ID, outcome, loadOf(resp))
-	return result{entry: entry, response: resp, err: err, duration: r.Timer.Now().Sub(start)}
+	r.Balancer.RecordOutcome(choice, outcome, loadOf(resp))
+	elapsed := r.Timer.Now().Sub(start)
+	r.recordWork(ctx, j, choice, resp, elapsed)
+	return result{entry: entry, response: resp, err: err, duration: elapsed}
 }
 
 // outcomeUnlessCancelled returns Inconclusive if this VM cancelled the request, else the outcome. A request that was
--- a/core/relayer/hedge.go
+++ b/core/relayer/hedge.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/dragonflypass/dragonflypass"
+	"github.com/dragonflypass/dragonflypass/core/balancer"
 )
 
 // hedgeFraction is the fraction of a route's latency objective after which a repeatable request is also sent to a
@@ -20,16 +21,16 @@
 // sendHedged sends the request to the server and, if there is no response after hedgeFraction of the latency
 // objective, to a second server as well. A successful response cancels the other attempt. It returns the results of
 // the attempts that it waited for; a successful result comes last.
-func (r *Relayer) sendHedged(ctx context.Context, j *job, entry dragonflypass.ServerEntry) []result {
+func (r *Relayer) sendHedged(ctx context.Context, j *job, choice balancer.Choice) []result {
 	if !j.route.Retryable() || j.route.LatencyObjective <= 0 || j.attemptCount+1 >= j.route.MaxAttempts {
-		return []result{r.send(ctx, j, entry)}
+		return []result{r.send(ctx, j, choice)}
 	}
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
 	// decided is set by whichever of the timer and this goroutine first determines whether a second attempt is made.
 	var decided atomic.Bool
 	hedgeResults := make(chan []result, 1)
-	excluded := append(slices.Clone(j.excluded), entry.ID)
+	excluded := append(slices.Clone(j.excluded), choice.Entry.ID)
 	hedgeAt := r.Timer.Now().Add(time.Duration(hedgeFraction * float64(j.route.LatencyObjective)))
 	stop := r.Timer.At(dragonflypass.JobRetry, hedgeAt, func(context.Context) {
 		if !decided.CompareAndSwap(false, true) {
@@ -42,7 +43,7 @@
 		hedgeResults <- results
 	})
 	defer stop()
-	results := []result{r.send(ctx, j, entry)}
+	results := []result{r.send(ctx, j, choice)}
 	if decided.CompareAndSwap(false, true) || results[0].succeeded() {
 		return results
 	}
@@ -54,10 +55,10 @@
 	if ctx.Err() != nil || !r.takeRetry(j.service) {
 		return nil
 	}
-	entry, ok := r.Balancer.Pick(r.Directory.Servers(j.service), excluded)
+	choice, ok := r.pick(j, excluded)
 	if !ok {
 		return nil
 	}
 	r.Meter.Add(dragonflypass.CountHedged, 1)
-	return []result{r.send(ctx, j, entry)}
+	return []result{r.send(ctx, j, choice)}
 }
--- a/core/relayer/relayer.go
+++ b/core/relayer/relayer.go
@@ -10,10 +10,12 @@
 	"github.com/rotisserie/eris"
 
 	"github.com/dragonflypass/dragonflypass"
+	"github.com/dragonflypass/dragonflypass/core/appraiser"
 	"github.com/dragonflypass/dragonflypass/core/assessor"
 	"github.com/dragonflypass/dragonflypass/core/balancer"
 	"github.com/dragonflypass/dragonflypass/core/excluder"
 	"github.com/dragonflypass/dragonflypass/core/locker"
+	"github.com/dragonflypass/dragonflypass/core/pacer"
 	"github.com/dragonflypass/dragonflypass/core/prober"
 	"github.com/dragonflypass/dragonflypass/core/quarantiner"
 	"github.com/dragonflypass/dragonflypass/core/reserver"
@@ -85,6 +87,8 @@
 	Router      *router.Router
 	Directory   Directory
 	Balancer    *balancer.Balancer
+	Appraiser   *appraiser.Appraiser
+	Pacer       *pacer.Pacer
 	Permits     Permits
 	Reserver    *reserver.Reserver
 	Prober      *prober.Prober
@@ -93,6 +97,8 @@
 	Budgets     *retrier.Budgets
 	Quarantiner *quarantiner.Quarantiner
 	Crashes     Crashes
+	// CostModel returns the cost model of the service's engines, nil if it has none.
+	CostModel func(service dragonflypass.ServiceID) *dragonflypass.EngineCostModel
 	// Owner returns the VM that owns the servers of the shard.
 	Owner func(shard dragonflypass.Shard) dragonflypass.VMID
 	// HandleHeartbeat passes this VM's own open streams to the owner on this VM.
@@ -171,6 +177,8 @@
 	// eventCount is the number of events forwarded, and endsUnnamed is set if the last of them had no identifier.
 	eventCount  int
 	endsUnnamed bool
+	// writeTime is the time for which the events have been held up by the caller.
+	writeTime time.Duration
 	// abandoned is set if this VM ended the last attempt although its server had not failed.
 	abandoned bool
 	// attemptHistory describes the attempts for the log, and stopReason is the reason why no further attempt was made,
@@ -278,6 +286,7 @@
 	refusal, refused := dragonflypass.AsRefusal(err)
 	switch {
 	case err == nil:
+		r.recordOutput(j)
 	case !refused && ctx.Err() != nil && r.Timer.Now().Before(j.deadline):
 		// The response was interrupted because the caller disconnected.
 		outcome, counter = dragonflypass.ReasonCancelled, dragonflypass.CountCancelled
--- a/core/relayer/stream.go
+++ b/core/relayer/stream.go
@@ -71,9 +71,10 @@
 	if shape == nil {
 		shape = &dragonflypass.PromptShape{}
 	}
+	output, _ := r.Appraiser.Output(j.costKey(), shape.ExpectedTokens, shape.OutputTokens)
 	return dragonflypass.PermitRequest{
-		Stream: dragonflypass.StreamID{VM: r.Self.ID, Incarnation: r.Incarnation, Sequence: r.sequence.Add(1)},
-		ID:     e.ID, Account: j.match.Account, Model: shape.Model, Service: j.service, Priority: j.match.Priority,
+		ExpectedOutput: output, Stream: dragonflypass.StreamID{VM: r.Self.ID, Incarnation: r.Incarnation, Sequence: r.sequence.Add(1)},
+		ID: e.ID, Account: j.match.Account, Model: shape.Model, Service: j.service, Priority: j.match.Priority,
 		PromptTokens: shape.Tokens, OutputTokens: shape.OutputTokens, ExpectedTokens: shape.ExpectedTokens,
 		MaxEventGap: j.route.MaxEventGap, ExcludedServers: slices.Concat(j.excluded, r.Excluder.ExcludedServers(j.service)), Deadline: j.deadline, FirstTokenDeadline: e.Arrived.Add(j.route.LatencyObjective),
 		Fingerprint: j.fingerprint(),
@@ -185,6 +186,9 @@
 		return *chunk, nil
 	}
 	chunk, err := a.response.Next()
+	if err == nil && !chunk.Comment {
+		a.eventCount++
+	}
 	if err == nil && !chunk.Comment && a.open.prefilled.CompareAndSwap(false, true) {
 		r.Permits.Prefilled(a.permit)
 		r.Quarantiner.RecordBegun(j.fingerprint().Model, j.exchange.SharedParts)
@@ -202,10 +206,12 @@
 	case eventUnrelated:
 		return eris.Wrapf(dragonflypass.ErrBroken, "event %q after %q", chunk.ID, j.lastEventID)
 	}
+	start := r.Timer.Now()
 	if err := j.writer.WriteChunk(chunk); err != nil {
 		return errCallerDisconnected
 	}
 	now := r.Timer.Now()
+	j.writeTime += now.Sub(start)
 	if j.eventCount == 0 {
 		j.firstChunkAt = now
 		r.Meter.Observe(dragonflypass.MeasureFirstToken, rankOf(j.match.Priority), classOf(j.exchange.Prompt), now.Sub(j.exchange.Arrived))
