--- a/adapter/exposer/dump.go
+++ b/adapter/exposer/dump.go
@@ -34,6 +34,9 @@
 	Budgets         []Budget         `json:"budgets"`
 	Suspects        []Suspect        `json:"suspects"`
 	Parts           []SuspectPart    `json:"parts"`
+	// CostKeys is the number of keys with a learned cost of requests.
+	CostKeys    int          `json:"cost_keys"`
+	SlowServers []SlowServer `json:"slow"`
 }
 
 // Topic describes the local copy of a topic of the store: the offset up to which it was read
@@ -141,6 +144,14 @@
 	Until time.Time `json:"until"`
 }
 
+// SlowServer is a backend server that this VM finds slow; Pace is the factor by which it is slower than predicted.
+type SlowServer struct {
+	Server  dragonflypass.ServerID         `json:"server"`
+	Service dragonflypass.ServiceID        `json:"service"`
+	Zone    dragonflypass.AvailabilityZone `json:"zone"`
+	Pace    float64                        `json:"pace"`
+}
+
 // Suspect is a request that may have crashed backend servers.
 type Suspect struct {
 	Account dragonflypass.AccountID `json:"account"`
@@ -153,7 +164,7 @@
 func newDump(s composer.RelayState, requests int) Dump {
 	d := Dump{
 		VM: s.Self.ID, Zone: s.Self.Zone, Incarnation: s.Incarnation, At: s.At, Ready: s.Ready, Leaving: s.Leaving,
-		OpenRequests: requests, RoutingVersion: s.Routing, QueuedRequests: s.QueuedRequests, Zones: s.ZoneSizes, Hubs: s.Hubs,
+		OpenRequests: requests, RoutingVersion: s.Routing, QueuedRequests: s.QueuedRequests, Zones: s.ZoneSizes, Hubs: s.Hubs, CostKeys: s.CostKeys,
 	}
 	for _, t := range s.Topics {
 		d.Topics = append(d.Topics, Topic{Topic: t.Topic, EndOffset: uint64(t.EndOffset), Loaded: t.Loaded, Staleness: t.Staleness.Milliseconds(), Readers: t.Readers})
@@ -189,6 +200,9 @@
 	for _, b := range s.Budgets {
 		d.Budgets = append(d.Budgets, Budget(b))
 	}
+	for _, server := range s.SlowServers {
+		d.SlowServers = append(d.SlowServers, SlowServer{Server: server.Server, Service: server.Service, Zone: server.Zone, Pace: server.Pace})
+	}
 	for _, suspect := range s.Suspects {
 		d.Suspects = append(d.Suspects, Suspect(suspect))
 	}
--- a/adapter/exposer/exposer.go
+++ b/adapter/exposer/exposer.go
@@ -47,6 +47,7 @@
 		fmt.Fprintf(w, "members{state=%q} %d\n", name, members[name])
 	}
 	fmt.Fprintf(w, "servers_registered %d\nservers_failing %d\nservers_excluded %d\n", len(state.Registry), len(state.FailingServers), len(state.ExcludedServers))
+	fmt.Fprintf(w, "cost_keys %d\nservers_slow %d\n", state.CostKeys, len(state.SlowServers))
 	for _, budget := range state.Budgets {
 		fmt.Fprintf(w, "retry_budget{service=%q} %.1f\n", budget.Service, budget.Balance)
 	}
