Slow predictions down only for servers that are clearly slow

The owner now takes an observation below 1 as 1, since a prediction that was too careful shows nothing of the server, and uses a pace from 1.5 on.

--- a/core/allocator/pace.go
+++ b/core/allocator/pace.go
@@ -12,6 +12,9 @@
 	// minPasses is the number of passes from which the time of an answer shows the speed of the server: the first and the last
 	// one may be off by one pass.
 	minPasses = 8
+	// minSlowdown is the pace from which the predictions of a server are slowed down. With 1.25, simulated days without a slow
+	// server earned less, because predictions are off by that much at servers without any fault.
+	minSlowdown = 1.5
 )
 
 // paceObservation is what a permit has shown of the speed of its server.
@@ -95,15 +98,25 @@
 
 // recordPace records an observation of the server, relative to its present pace, and adapts its predictions.
 func (a *Allocator) recordPace(s *server, ratio, share float64) {
-	a.RecordPace(&s.entry, ratio*s.engine.Slowdown, share)
-	s.engine.Slowdown = a.Pace(&s.entry)
+	// A server that seems faster than its cost model only shows that the prediction was too careful. In a simulation with a slow
+	// server, others otherwise came to be predicted at twice their speed, and got more than they could process.
+	a.RecordPace(&s.entry, max(1, ratio*s.engine.Slowdown), share)
+	a.updateSlowdown(s)
+}
+
+// updateSlowdown adapts the predictions of the server to its pace.
+func (a *Allocator) updateSlowdown(s *server) {
+	s.engine.Slowdown = 1
+	if pace := a.Pace(&s.entry); pace >= minSlowdown {
+		s.engine.Slowdown = pace
+	}
 }
 
 // updatePaces adapts the predictions to the paces of the servers, which change also without observations. The mutex must be held.
 func (a *Allocator) updatePaces() {
 	for _, c := range a.clusters {
 		for _, s := range c.serverList {
-			s.engine.Slowdown = a.Pace(&s.entry)
+			a.updateSlowdown(s)
 		}
 	}
 }
