Merge the learned cost of requests and the pace of servers

Cause: placement used one mean output for all routes and took all servers for equally fast. Pick takes the size of the body and the appraised time; the handling of heartbeats has a file of its own.

--- a/core/allocator/allocator.go
+++ b/core/allocator/allocator.go
@@ -62,6 +62,10 @@
 	// Throttle limits the permits for servers that are warming up, and OwnerCandidate reports whether this VM may own the shard.
 	Throttle       Throttle
 	OwnerCandidate func(shard dragonflypass.Shard) bool
+	// Pace returns the factor by which the server is slower than its cost model, by default 1. RecordPace records how much
+	// longer than predicted at a pace of 1 something took at the server, and the share of the observation that concerns it.
+	Pace       func(entry *dragonflypass.ServerEntry) float64
+	RecordPace func(entry *dragonflypass.ServerEntry, ratio, share float64)
 	// Balancer moves requests to other shards; nil if each service has a single one.
 	Balancer Balancer
 
@@ -95,6 +99,7 @@
 	short bool
 	// prefilled is set once the prompt is known to be processed.
 	prefilled bool
+	pace      paceObservation
 	// lastReported is the time of the last heartbeat that listed the stream, or of the grant before the first one.
 	lastReported time.Time
 }
@@ -119,6 +124,8 @@
 		Evacuated:      func(dragonflypass.AvailabilityZone) bool { return false },
 		OwnerCandidate: func(dragonflypass.Shard) bool { return true },
 		Throttle:       noThrottle{},
+		Pace:           func(*dragonflypass.ServerEntry) float64 { return 1 },
+		RecordPace:     func(*dragonflypass.ServerEntry, float64, float64) {},
 		mutex:          locker.Mutex{Order: locker.Servers},
 		clusters:       make(map[dragonflypass.Shard]*cluster),
 		permits:        make(map[dragonflypass.StreamID]*permit),
@@ -217,6 +224,7 @@
 	}
 	p.server.engine.AlignPass(at)
 	p.server.engine.AddDecode(p.decodeTask(at), now)
+	a.observePrefill(p, at)
 	results := a.dispatch(p.cluster, now)
 	a.mutex.Unlock()
 	a.notify(results)
@@ -231,6 +239,7 @@
 		a.mutex.Unlock()
 		return
 	}
+	a.observeRelease(p, release, now.Add(-transitTime))
 	a.removePermit(p, now)
 	for _, s := range p.servers() {
 		if slices.Contains(release.Leaving, s.entry.ID) {
@@ -339,6 +348,7 @@
 	for _, p := range a.permits {
 		a.extendOverdue(p, now)
 	}
+	a.updatePaces()
 	results := a.expireQueued(now)
 	for _, c := range a.clusters {
 		if len(c.queue) > 0 {
@@ -385,6 +395,7 @@
 		return
 	}
 	remaining := max(overdueDelay, time.Duration(overdueFraction*float64(now.Sub(p.grantedAt))))
+	p.pace.keepDue(p.firstToken)
 	p.firstToken = now.Add(remaining)
 	for _, s := range p.servers() {
 		s.engine.Advance(now)
@@ -396,67 +407,6 @@
 	p.server.engine.AddDecode(p.decodeTask(p.firstToken), now)
 }
 
-// HandleHeartbeat renews the permits of the streams that an entry VM has open, takes over its streams that another owner
-// granted, and removes the permits of streams that it no longer has.
-func (a *Allocator) HandleHeartbeat(heartbeat dragonflypass.Heartbeat) {
-	now := a.Timer.Now()
-	a.mutex.Lock()
-	defer a.mutex.Unlock()
-	a.lastHeartbeats[heartbeat.From.ID] = now
-	for _, sequence := range heartbeat.GrantedStreams {
-		id := dragonflypass.StreamID{VM: heartbeat.From.ID, Incarnation: heartbeat.Incarnation, Sequence: sequence}
-		if p, ok := a.permits[id]; ok {
-			p.lastReported = now
-		}
-	}
-	for _, stream := range heartbeat.InheritedStreams {
-		a.adopt(stream, now)
-	}
-	for id, p := range a.permitsByVM[heartbeat.From.ID] {
-		if p.lastReported.Equal(now) {
-			continue
-		}
-		if id.Incarnation != heartbeat.Incarnation || now.Sub(p.grantedAt) > heartbeatGrace {
-			a.removePermit(p, now)
-			a.Meter.Add(dragonflypass.CountPermitExpired, 1)
-		}
-	}
-}
-
-// adopt takes over a stream that another owner granted; the mutex must be held.
-func (a *Allocator) adopt(stream dragonflypass.OpenStream, now time.Time) {
-	if p, ok := a.permits[stream.Stream]; ok {
-		p.lastReported = now
-		return
-	}
-	c := a.cluster(stream.Shard())
-	if c == nil || c.servers[stream.Server] == nil {
-		return
-	}
-	p := &permit{
-		cluster: c, server: c.servers[stream.Server], parts: 1 + len(stream.Helpers), tokens: stream.PromptTokens + c.costModel.MeanOutputTokens,
-		grantedAt: now, firstToken: now.Add(stream.TimeToFirstToken), initialFirstToken: now.Add(stream.TimeToFirstToken), prefilled: stream.Prefilled, lastReported: now,
-		request: dragonflypass.PermitRequest{
-			Stream: stream.Stream, Service: stream.Service, PromptTokens: stream.PromptTokens, MaxEventGap: stream.MaxEventGap, Deadline: stream.Deadline,
-			Account: stream.Account, Fingerprint: stream.Fingerprint,
-		},
-	}
-	for _, id := range stream.Helpers {
-		if s := c.servers[id]; s != nil {
-			p.helpers = append(p.helpers, s)
-		}
-	}
-	a.addPermit(p)
-	p.short = stream.PromptTokens > 0 && c.costModel.PrefillTime(stream.PromptTokens) <= time.Duration(min(c.shortServers, maxParts))*maxShortPartTime
-	if p.short {
-		c.shortPermits++
-	}
-	a.addToServers(p, now)
-	for _, s := range p.servers() {
-		s.engine.TrimPrefill(stream.Stream, stream.TimeToFirstToken)
-	}
-}
-
 // addToServers adds the permit to the state and the predictions of its servers; the mutex must be held.
 func (a *Allocator) addToServers(p *permit, arrival time.Time) {
 	a.adjustReserved(p, 1)
--- a/core/balancer/body_test.go
+++ b/core/balancer/body_test.go
@@ -33,21 +33,23 @@
 	b.BodyLimit = 100
 	entries := []dragonflypass.ServerEntry{{ID: "one"}, {ID: "two"}}
 	held := make(map[dragonflypass.ServerID]int64)
+	var choices []balancer.Choice
 	for range 4 {
-		entry, ok := b.Pick(entries, nil, 50)
+		choice, ok := b.Pick(entries, nil, 0, 50)
 		c.Assert(ok, qt.IsTrue)
-		held[entry.ID] += 50
+		held[choice.Entry.ID] += 50
+		choices = append(choices, choice)
 	}
 	c.Check(held, qt.DeepEquals, map[dragonflypass.ServerID]int64{"one": 100, "two": 100})
-	_, ok := b.Pick(entries, nil, 1)
+	_, ok := b.Pick(entries, nil, 0, 1)
 	c.Check(ok, qt.IsFalse)
-	b.RecordOutcome("two", assessor.Answered, nil, 50)
-	entry, ok := b.Pick(entries, nil, 50)
+	b.RecordOutcome(choices[0], assessor.Answered, nil)
+	choice, ok := b.Pick(entries, nil, 0, 50)
 	c.Check(ok, qt.IsTrue)
-	c.Check(entry.ID, qt.Equals, dragonflypass.ServerID("two"))
-	for _, id := range []dragonflypass.ServerID{"one", "one", "two", "two"} {
-		b.RecordOutcome(id, assessor.Answered, nil, 50)
+	c.Check(choice.Entry.ID, qt.Equals, choices[0].Entry.ID)
+	for _, choice := range append(choices[1:], choice) {
+		b.RecordOutcome(choice, assessor.Answered, nil)
 	}
-	_, ok = b.Pick(entries, nil, 1000)
+	_, ok = b.Pick(entries, nil, 0, 1000)
 	c.Check(ok, qt.IsTrue)
 }
--- a/core/composer/relay.go
+++ b/core/composer/relay.go
@@ -11,6 +11,7 @@
 	"github.com/dragonflypass/dragonflypass"
 	"github.com/dragonflypass/dragonflypass/core/acquirer"
 	"github.com/dragonflypass/dragonflypass/core/allocator"
+	"github.com/dragonflypass/dragonflypass/core/appraiser"
 	"github.com/dragonflypass/dragonflypass/core/assessor"
 	"github.com/dragonflypass/dragonflypass/core/balancer"
 	"github.com/dragonflypass/dragonflypass/core/connector"
@@ -20,6 +21,7 @@
 	"github.com/dragonflypass/dragonflypass/core/follower"
 	"github.com/dragonflypass/dragonflypass/core/handler"
 	"github.com/dragonflypass/dragonflypass/core/locker"
+	"github.com/dragonflypass/dragonflypass/core/pacer"
 	"github.com/dragonflypass/dragonflypass/core/prober"
 	"github.com/dragonflypass/dragonflypass/core/quarantiner"
 	"github.com/dragonflypass/dragonflypass/core/registrar"
@@ -89,6 +91,8 @@
 	Sharder     *sharder.Sharder
 	Budgets     *retrier.Budgets
 	Quarantiner *quarantiner.Quarantiner
+	Appraiser   *appraiser.Appraiser
+	Pacer       *pacer.Pacer
 
 	mutex locker.Mutex
 	// lastOwners maps each shard to its owner at the last change of the membership.
@@ -123,8 +127,6 @@
 	// routingReadTime is the time before the end of the freshness of keys at which a VM without proofs reads the routing topic
 	// at the latest. A slow store answers after 250 ms.
 	routingReadTime = 750 * time.Millisecond
-	// crashReportTimeout limits the time for reporting a crash to one VM.
-	crashReportTimeout = time.Second
 	// changeDuty and crashDuty are the duties of the hubs that forward changes of a topic and crash reports in their zones.
 	changeDuty = "change"
 	crashDuty  = "crash"
@@ -155,6 +157,7 @@
 	n.composeRelayer()
 	n.connectEvacuator()
 	n.connectThrottler()
+	n.composeCosts()
 	n.Detector.Subscribe(n.notifyNewOwners)
 	return n
 }
@@ -177,6 +180,8 @@
 	}
 	d.Received = func(heartbeat dragonflypass.Heartbeat) {
 		n.Quarantiner.Merge(heartbeat.Parts, heartbeat.Requests)
+		n.Appraiser.Merge(heartbeat.From.ID, heartbeat.Costs)
+		n.Pacer.Merge(heartbeat.From.ID, heartbeat.Paces)
 		n.Sharder.RecordLoads(heartbeat.ShardLoads)
 		n.Allocator.HandleHeartbeat(heartbeat)
 	}
@@ -433,7 +438,7 @@
 // Run runs the components until ctx ends. The pool and the timer must be running already.
 func (n *Relay) Run(ctx context.Context) {
 	var wg sync.WaitGroup
-	for _, run := range []func(context.Context){n.Detector.Run, n.Routing.Run, n.Registry.Run, n.Registrar.Run, n.Allocator.Run, n.Excluder.Run, n.Throttler.Run, n.Prober.Run, n.Quarantiner.Run, n.Relayer.Run} {
+	for _, run := range []func(context.Context){n.Detector.Run, n.Routing.Run, n.Registry.Run, n.Registrar.Run, n.Allocator.Run, n.Excluder.Run, n.Throttler.Run, n.Prober.Run, n.Quarantiner.Run, n.Pacer.Run, n.Relayer.Run} {
 		wg.Go(func() { run(ctx) })
 	}
 	wg.Wait()
@@ -444,38 +449,6 @@
 	return &handler.Handler{Owner: n.Allocator, Detector: n.Detector, Quarantiner: n.Quarantiner, Refuse: n.refuseWhileLeaving, ForwardCrash: n.forwardCrash}
 }
 
-// BroadcastCrash reports a server crash to the other VMs without waiting for them. In a large fleet these are the VMs that
-// this one knows to be live, the hubs among them, and one hub of each zone forwards the report there.
-func (n *Relay) BroadcastCrash(crash dragonflypass.ServerCrash) {
-	n.sendCrash(crash, func(dragonflypass.Member) bool { return true })
-}
-
-// forwardCrash forwards a crash report to the VMs of the own zone if this VM is the first hub there.
-func (n *Relay) forwardCrash(crash dragonflypass.ServerCrash) {
-	if !n.largeFleet() || !n.firstHub(crashDuty) {
-		return
-	}
-	n.sendCrash(crash, func(m dragonflypass.Member) bool { return m.VM.Zone == n.Options.Self.Zone })
-}
-
-// sendCrash reports the crash to the members that match. It logs the VMs that it cannot reach.
-func (n *Relay) sendCrash(crash dragonflypass.ServerCrash, matches func(dragonflypass.Member) bool) {
-	for _, member := range n.Detector.Others() {
-		// A worker would wait for each VM that is down. Those that return learn of quarantined parts from heartbeats.
-		isUp := member.State == dragonflypass.MemberLive || member.State == dragonflypass.MemberLeaving
-		if !isUp || !matches(member) {
-			continue
-		}
-		n.Ports.Pool.Submit(dragonflypass.JobPeer, func(ctx context.Context) {
-			ctx, cancel := n.Ports.Timer.WithDeadline(ctx, n.Ports.Timer.Now().Add(crashReportTimeout))
-			defer cancel()
-			if err := n.Ports.Peers.ReportCrash(ctx, member.VM, crash); err != nil {
-				n.Ports.Logger.Info("crash report not delivered", "vm_told", member.VM.ID, "server", crash.Server, "error", err)
-			}
-		})
-	}
-}
-
 // refuseWhileLeaving returns the refusal that directs permit requests to other VMs while this VM is leaving, else nil.
 func (n *Relay) refuseWhileLeaving() *dragonflypass.Refusal {
 	if !n.Detector.Leaving() {
