Read the era of the platform's store

Cause: the store may be restored from an old copy. It says so only with the header Store-Era, which nothing read, and neither stand-in could be restored.

--- a/adapter/assembler/relay.go
+++ b/adapter/assembler/relay.go
@@ -211,7 +211,7 @@
 func (n *RelayNode) register(ctx context.Context) {
 	for ctx.Err() == nil {
 		registerCtx, cancel := context.WithTimeout(ctx, registerTimeout)
-		err := n.adapters.Store.RegisterMember(registerCtx, n.Settings.VM())
+		_, err := n.adapters.Store.RegisterMember(registerCtx, n.Settings.VM())
 		cancel()
 		if err == nil {
 			return
--- a/internal/fake/store.go
+++ b/internal/fake/store.go
@@ -31,6 +31,11 @@
 	down         bool
 	// pageLimit is the largest number of records that Changes returns, zero for no limit.
 	pageLimit int
+	// era is the current era, and times holds the time at which each record of the history was written.
+	era   dragonflypass.Era
+	times map[dragonflypass.Topic][]time.Time
+	// eraWithheld is set while responses do not state the era.
+	eraWithheld bool
 }
 
 // NewStore returns an empty store.
@@ -42,9 +47,46 @@
 		trimOffsets:  make(map[dragonflypass.Topic]dragonflypass.Offset),
 		recordsByRaw: make(map[string]dragonflypass.Update),
 		changed:      make(chan struct{}),
+		times:        make(map[dragonflypass.Topic][]time.Time),
+		era:          1,
 	}
 }
 
+// Restore replaces the content by a copy of the given age: the records that were written since are lost. It starts a new era.
+func (s *Store) Restore(age time.Duration) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	copiedAt := time.Now().Add(-age)
+	for topic, history := range s.history {
+		kept, _ := slices.BinarySearchFunc(s.times[topic], copiedAt, time.Time.Compare)
+		s.history[topic], s.times[topic] = slices.Clone(history[:kept]), s.times[topic][:kept]
+		s.endOffsets[topic] = dragonflypass.Offset(kept)
+		s.trimOffsets[topic] = min(s.trimOffsets[topic], s.endOffsets[topic])
+		clear(s.topics[topic])
+		for _, update := range s.history[topic] {
+			s.topics[topic][update.Key] = update
+		}
+	}
+	s.era++
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
+// SetEraWithheld sets whether responses do not state the era.
+func (s *Store) SetEraWithheld(withheld bool) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.eraWithheld = withheld
+}
+
+// statedEra returns the era that responses state. It is called with the mutex held.
+func (s *Store) statedEra() dragonflypass.Era {
+	if s.eraWithheld {
+		return 0
+	}
+	return s.era
+}
+
 // SetDown sets whether every call fails with ErrUnavailable.
 func (s *Store) SetDown(down bool) {
 	s.mutex.Lock()
@@ -76,11 +118,12 @@
 	update.Offset = s.endOffsets[topic]
 	s.endOffsets[topic]++
 	if update.Table != nil || update.Server != nil || update.Member != nil || update.Err != nil {
-		update.Raw = []byte(string(topic) + " " + strconv.FormatUint(uint64(update.Offset), 10))
+		update.Raw = []byte(string(topic) + " " + strconv.FormatUint(uint64(s.era), 10) + " " + strconv.FormatUint(uint64(update.Offset), 10))
 		s.recordsByRaw[string(update.Raw)] = update
 	}
 	s.topics[topic][update.Key] = update
 	s.history[topic] = append(s.history[topic], update)
+	s.times[topic] = append(s.times[topic], time.Now())
 	close(s.changed)
 	s.changed = make(chan struct{})
 }
@@ -111,22 +154,27 @@
 	return nil
 }
 
-// readPage returns the records starting at the offset, and a channel that is closed when the next record is written.
-func (s *Store) readPage(topic dragonflypass.Topic, from dragonflypass.Offset) (dragonflypass.UpdatePage, <-chan struct{}) {
+// readPage returns the records starting at the offset, and a channel that is closed when the next record is written or the
+// store is restored. The error is ErrTrimmed if the store does not have the offset, or ErrTruncated.
+func (s *Store) readPage(topic dragonflypass.Topic, from dragonflypass.Offset) (dragonflypass.UpdatePage, <-chan struct{}, error) {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
-	page := dragonflypass.UpdatePage{EndOffset: s.endOffsets[topic]}
-	if from < page.EndOffset {
-		page.Updates = slices.Clone(s.history[topic][from:])
+	page := dragonflypass.UpdatePage{Era: s.statedEra()}
+	if from < s.trimOffsets[topic] || from > s.endOffsets[topic] {
+		return page, nil, dragonflypass.ErrTrimmed
+	}
+	if s.pageLimit > 0 && int(s.endOffsets[topic]-from) > s.pageLimit {
+		return page, nil, dragonflypass.ErrTruncated
 	}
-	return page, s.changed
+	page.EndOffset, page.Updates = s.endOffsets[topic], slices.Clone(s.history[topic][from:])
+	return page, s.changed, nil
 }
 
 // latest returns the latest record of each key, without removed keys.
 func (s *Store) latest(topic dragonflypass.Topic) dragonflypass.UpdatePage {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
-	page := dragonflypass.UpdatePage{EndOffset: s.endOffsets[topic]}
+	page := dragonflypass.UpdatePage{Era: s.statedEra(), EndOffset: s.endOffsets[topic]}
 	for _, key := range slices.Sorted(maps.Keys(s.topics[topic])) {
 		if update := s.topics[topic][key]; len(update.Raw) > 0 {
 			page.Updates = append(page.Updates, update)
@@ -150,22 +198,12 @@
 	if err := s.beginCall(ctx); err != nil {
 		return dragonflypass.UpdatePage{}, err
 	}
-	s.mutex.Lock()
-	trimmed := from < s.trimOffsets[topic]
-	limit := s.pageLimit
-	s.mutex.Unlock()
-	if trimmed {
-		return dragonflypass.UpdatePage{}, dragonflypass.ErrTrimmed
-	}
 	timeout := time.NewTimer(maxWait)
 	defer timeout.Stop()
 	for {
-		page, changed := s.readPage(topic, from)
-		if limit > 0 && len(page.Updates) > limit {
-			return dragonflypass.UpdatePage{}, dragonflypass.ErrTruncated
-		}
-		if len(page.Updates) > 0 {
-			return page, nil
+		page, changed, err := s.readPage(topic, from)
+		if err != nil || len(page.Updates) > 0 {
+			return page, err
 		}
 		select {
 		case <-changed:
@@ -178,12 +216,14 @@
 }
 
 // RegisterMember writes an entry VM to the members topic.
-func (s *Store) RegisterMember(ctx context.Context, vm dragonflypass.VM) error {
+func (s *Store) RegisterMember(ctx context.Context, vm dragonflypass.VM) (dragonflypass.Era, error) {
 	if err := s.beginCall(ctx); err != nil {
-		return err
+		return 0, err
 	}
 	s.Put(dragonflypass.TopicMembers, dragonflypass.Update{Key: string(vm.ID), Member: &vm})
-	return nil
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	return s.statedEra(), nil
 }
 
 // Decode returns the record that was written with this raw form, or an empty update if there is none.
@@ -212,7 +252,7 @@
 	return vms, nil
 }
 
-// StoreAccess is the access of one VM to the store. Latest, Changes and VMs fail while it is disconnected.
+// StoreAccess is the access of one VM to the store. All calls fail while it is disconnected.
 type StoreAccess struct {
 	*Store
 
@@ -253,6 +293,14 @@
 	return a.Store.Changes(ctx, topic, from, maxWait)
 }
 
+// RegisterMember calls Store.RegisterMember; it returns ErrUnavailable while the VM is disconnected.
+func (a *StoreAccess) RegisterMember(ctx context.Context, vm dragonflypass.VM) (dragonflypass.Era, error) {
+	if err := a.checkConnected(); err != nil {
+		return 0, err
+	}
+	return a.Store.RegisterMember(ctx, vm)
+}
+
 // VMs calls Store.VMs; it returns ErrUnavailable while the VM is disconnected.
 func (a *StoreAccess) VMs(ctx context.Context) ([]dragonflypass.PlatformVM, error) {
 	if err := a.checkConnected(); err != nil {
--- a/ports.go
+++ b/ports.go
@@ -63,15 +63,15 @@
 	VMs(ctx context.Context) ([]PlatformVM, error)
 }
 
-// Store is the platform's metadata store.
+// Store is the platform's metadata store. A page that is returned with an error contains only the era of the response.
 type Store interface {
 	// Latest returns the latest record of each key of the topic.
 	Latest(ctx context.Context, topic Topic) (UpdatePage, error)
 	// Changes returns all records of the topic starting at the offset; it waits for the first one up to the given duration.
 	// It returns ErrTrimmed if the offset is no longer retained, and ErrTruncated if there are too many records for one response.
 	Changes(ctx context.Context, topic Topic, from Offset, wait time.Duration) (UpdatePage, error)
-	// RegisterMember writes an entry VM to the members topic.
-	RegisterMember(ctx context.Context, vm VM) error
+	// RegisterMember writes an entry VM to the members topic and returns the era in which the store responded.
+	RegisterMember(ctx context.Context, vm VM) (Era, error)
 	// Decode decodes a record that another entry VM forwarded.
 	Decode(topic Topic, key string, offset Offset, raw []byte) Update
 }
--- a/registry.go
+++ b/registry.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/netip"
+	"strconv"
 	"time"
 )
 
@@ -61,8 +62,30 @@
 	Err error
 }
 
+// Version returns the version of the record, zero if its kind has none. A record never replaces one of a higher version.
+func (u *Update) Version() uint64 {
+	if u.Table == nil {
+		return 0
+	}
+	return u.Table.Version
+}
+
+// Era numbers the copies that the platform's store has been restored from. A restored store lacks the latest records of the
+// era before and uses their offsets again. Zero means that the era is not known.
+type Era uint64
+
+// String returns the number by which the store calls the era, which is lower by one, or "unknown".
+func (e Era) String() string {
+	if e == 0 {
+		return "unknown"
+	}
+	return strconv.FormatUint(uint64(e-1), 10)
+}
+
 // UpdatePage is the content of a topic, or the changes to it.
 type UpdatePage struct {
+	// Era is the era in which the store responded, zero if the response did not state it.
+	Era Era
 	// EndOffset is the offset of the next record of the topic.
 	EndOffset Offset
 	Updates   []Update
--- a/standin/storer/server.go
+++ b/standin/storer/server.go
@@ -12,6 +12,8 @@
 )
 
 const (
+	// headerEra is the header field of all responses that contains the era.
+	headerEra = "Store-Era"
 	// pageLimit is the largest number of latest records in one response.
 	pageLimit = 500
 	// maxReadWait is the longest time that a read waits for records.
@@ -38,12 +40,21 @@
 	return router
 }
 
-// injectFault counts the calls and simulates the current fault.
+// setEra sets the era of the response.
+func setEra(w http.ResponseWriter, era uint64) {
+	w.Header().Set(headerEra, strconv.FormatUint(era, 10))
+}
+
+// injectFault counts the calls and simulates the current fault, or the outage of a restore.
 func (s *Storer) injectFault(next http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		s.mutex.Lock()
 		s.calls++
 		fault := s.fault
+		if time.Now().Before(s.unavailableUntil) {
+			fault = Down
+		}
+		setEra(w, s.era)
 		s.mutex.Unlock()
 		switch fault {
 		case Down:
@@ -90,6 +101,7 @@
 	}
 	first := s.append(name, records)
 	end = s.topic(name).endOffset()
+	setEra(w, s.era)
 	s.mutex.Unlock()
 	writeJSON(w, http.StatusOK, map[string]uint64{"offset": first, "end_offset": end})
 }
@@ -116,7 +128,8 @@
 	timer := time.NewTimer(min(maxReadWait, time.Duration(wait)*time.Millisecond))
 	defer timer.Stop()
 	for mayWait := true; ; {
-		data, recordCount, appended, retained := s.readFrom(query.Get("topic"), from)
+		data, recordCount, appended, retained, era := s.readFrom(query.Get("topic"), from)
+		setEra(w, era)
 		if !retained {
 			writeJSON(w, http.StatusGone, map[string]uint64{"first": binary.BigEndian.Uint64(data[8:])})
 			return
@@ -136,7 +149,8 @@
 }
 
 func (s *Storer) handleLatest(w http.ResponseWriter, r *http.Request) {
-	entries, more, end := s.listLatest(r.URL.Query().Get("topic"), r.URL.Query().Get("after"), pageLimit)
+	entries, more, end, era := s.listLatest(r.URL.Query().Get("topic"), r.URL.Query().Get("after"), pageLimit)
+	setEra(w, era)
 	writeJSON(w, http.StatusOK, struct {
 		Entries []latestEntry `json:"entries"`
 		More    bool          `json:"has_more"`
--- a/standin/storer/storer.go
+++ b/standin/storer/storer.go
@@ -5,6 +5,7 @@
 	"maps"
 	"slices"
 	"sync"
+	"time"
 )
 
 // Fault is a simulated failure of the store.
@@ -28,16 +29,24 @@
 	// appended is closed and replaced at each append.
 	appended chan struct{}
 	calls    int
+	// era is the number of restores so far, and unavailableUntil the end of the latest one.
+	era              uint64
+	unavailableUntil time.Time
 }
 
 type topic struct {
-	// firstOffset is the offset of the oldest retained record.
+	// firstOffset is the offset of the oldest retained record. The records before it are kept for restores.
 	firstOffset uint64
-	records     [][]byte
+	records     []record
 	// latest holds the offset and value of each key's latest record; an empty value means that the key is deleted.
 	latest map[string]latestValue
 }
 
+type record struct {
+	content   []byte
+	writtenAt time.Time
+}
+
 type latestValue struct {
 	offset uint64
 	value  []byte
@@ -73,7 +82,42 @@
 }
 
 // endOffset returns the offset of the next record.
-func (t *topic) endOffset() uint64 { return t.firstOffset + uint64(len(t.records)) }
+func (t *topic) endOffset() uint64 { return uint64(len(t.records)) }
+
+// add appends a record.
+func (t *topic) add(r record) {
+	if length := int(r.content[0]); length < len(r.content) {
+		t.latest[string(r.content[1:1+length])] = latestValue{offset: t.endOffset(), value: r.content[1+length:]}
+	}
+	t.records = append(t.records, r)
+}
+
+// Restore replaces the content by a copy of the given age, so that the records written since are lost and their offsets are
+// used again. It starts the next era. Calls fail for the given outage.
+func (s *Storer) Restore(age, outage time.Duration) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	now := time.Now()
+	for _, t := range s.topics {
+		records := t.records
+		t.records, t.latest = nil, make(map[string]latestValue)
+		for _, r := range records {
+			if r.writtenAt.Before(now.Add(-age)) {
+				t.add(r)
+			}
+		}
+		t.firstOffset = min(t.firstOffset, t.endOffset())
+	}
+	s.era++
+	s.unavailableUntil = now.Add(outage)
+	s.wakeReaders()
+}
+
+// wakeReaders makes the reads that wait for records look again. The caller holds the mutex.
+func (s *Storer) wakeReaders() {
+	close(s.appended)
+	s.appended = make(chan struct{})
+}
 
 // Put appends a record with the key; an empty value deletes the key.
 func (s *Storer) Put(name, key string, value []byte) {
@@ -86,14 +130,10 @@
 func (s *Storer) append(name string, records [][]byte) uint64 {
 	t := s.topic(name)
 	first := t.endOffset()
-	for _, record := range records {
-		if length := int(record[0]); length < len(record) {
-			t.latest[string(record[1:1+length])] = latestValue{offset: t.endOffset(), value: record[1+length:]}
-		}
-		t.records = append(t.records, record)
+	for _, content := range records {
+		t.add(record{content: content, writtenAt: time.Now()})
 	}
-	close(s.appended)
-	s.appended = make(chan struct{})
+	s.wakeReaders()
 	return first
 }
 
@@ -107,35 +147,33 @@
 // trim deletes the records before the offset. The caller holds the mutex.
 func (s *Storer) trim(name string, before uint64) {
 	t := s.topic(name)
-	count := min(max(before, t.firstOffset), t.endOffset()) - t.firstOffset
-	t.records = slices.Clone(t.records[count:])
-	t.firstOffset += count
+	t.firstOffset = min(max(before, t.firstOffset), t.endOffset())
 }
 
 // readFrom returns the response to a read: the end offset of the topic, its first offset, and the records starting at the
-// offset, each preceded by its length. The channel is closed at the next append; retained is false when the record at the
-// offset has been deleted.
-func (s *Storer) readFrom(name string, from uint64) (data []byte, recordCount int, appended <-chan struct{}, retained bool) {
+// offset, each preceded by its length. The channel is closed at the next append or restore; retained is false when the record
+// at the offset has been deleted or the topic ends before it.
+func (s *Storer) readFrom(name string, from uint64) (data []byte, recordCount int, appended <-chan struct{}, retained bool, era uint64) {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
 	t := s.topic(name)
 	data = binary.BigEndian.AppendUint64(nil, t.endOffset())
 	data = binary.BigEndian.AppendUint64(data, t.firstOffset)
-	if from < t.firstOffset {
-		return data, 0, nil, false
+	if from < t.firstOffset || from > t.endOffset() {
+		return data, 0, nil, false, s.era
 	}
 	for offset := from; offset < t.endOffset(); offset++ {
-		record := t.records[offset-t.firstOffset]
-		data = binary.BigEndian.AppendUint32(data, uint32(len(record)))
-		data = append(data, record...)
+		content := t.records[offset].content
+		data = binary.BigEndian.AppendUint32(data, uint32(len(content)))
+		data = append(data, content...)
 		recordCount++
 	}
-	return data, recordCount, s.appended, true
+	return data, recordCount, s.appended, true, s.era
 }
 
 // listLatest returns the latest records of the topic for the keys after the given one, at most limit, and the end offset
 // of the topic; more reports whether further keys follow.
-func (s *Storer) listLatest(name, after string, limit int) (entries []latestEntry, more bool, end uint64) {
+func (s *Storer) listLatest(name, after string, limit int) (entries []latestEntry, more bool, end, era uint64) {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
 	t := s.topic(name)
@@ -145,9 +183,9 @@
 			continue
 		}
 		if len(entries) == limit {
-			return entries, true, t.endOffset()
+			return entries, true, t.endOffset(), s.era
 		}
 		entries = append(entries, latestEntry{Key: key, Value: e.value, Offset: e.offset})
 	}
-	return entries, false, t.endOffset()
+	return entries, false, t.endOffset(), s.era
 }
--- a/vm.go
+++ b/vm.go
@@ -93,6 +93,11 @@
 // Watermark is the offset up to which an entry VM has read a topic of the platform's store.
 type Watermark struct {
 	Topic Topic
+	// Era is the era of the store to which EndOffset belongs, zero if it is not known. Versions that do not know eras do not
+	// send it.
+	Era Era
+	// Version is the highest version of the sender's records of the topic.
+	Version uint64
 	// EndOffset is the offset of the next record to read.
 	EndOffset Offset
 	// Loaded is set once the topic has been read at least once.
