Read the topics anew when the store has been restored

Cause: after a restore offsets go back and are used again. A reader either went on from its offset and missed what the restored copy lacks, or ignored the lower offsets and was never current again. A VM that started then took over an older route table, in which a revoked key is valid. Change: core/follower keeps the newest known era and that of its copy. On a newer era it reads the whole topic, from the store or another VM, and applies it whatever its offsets are; nothing of an older era is applied or shows that the copy is current. Watermarks carry the era and the highest version of the records: a record never replaces one of a higher version, VMs send newer versions to each other whatever their offsets are, and a VM that starts waits for them before its topic counts as loaded. VMs that send neither work as before, but prove nothing once the store was restored. Compressed lists of updates are kept by era and version too. TestMessagesRoundTrip also compares era and version.

--- a/adapter/messenger/heartbeat.go
+++ b/adapter/messenger/heartbeat.go
@@ -62,7 +62,10 @@
 }
 
 type watermark struct {
-	Topic     string   `cbor:"topic"`
+	Topic string `cbor:"topic"`
+	// Era and Version are ignored by the versions of this program that do not know them.
+	Era       uint64   `cbor:"era,omitempty"`
+	Version   uint64   `cbor:"version,omitempty"`
 	EndOffset uint64   `cbor:"end"`
 	Loaded    bool     `cbor:"known,omitempty"`
 	Staleness int64    `cbor:"age"`
@@ -150,14 +153,17 @@
 }
 
 func toWatermark(m dragonflypass.Watermark) watermark {
-	w := watermark{Topic: string(m.Topic), EndOffset: uint64(m.EndOffset), Loaded: m.Loaded, Staleness: int64(m.Staleness), FullSnapshot: m.FullSnapshot, Withheld: m.Withheld}
+	w := watermark{
+		Topic: string(m.Topic), Era: uint64(m.Era), Version: m.Version, EndOffset: uint64(m.EndOffset), Loaded: m.Loaded,
+		Staleness: int64(m.Staleness), FullSnapshot: m.FullSnapshot, Withheld: m.Withheld,
+	}
 	size := 0
 	for _, u := range m.Updates {
 		w.Updates = append(w.Updates, update{Key: u.Key, Offset: uint64(u.Offset), Raw: u.Raw})
 		size += len(u.Raw)
 	}
 	if size >= minPackedBytes {
-		id := listID{topic: m.Topic, endOffset: m.EndOffset, fullSnapshot: m.FullSnapshot, count: len(m.Updates)}
+		id := listID{topic: m.Topic, era: m.Era, version: m.Version, endOffset: m.EndOffset, fullSnapshot: m.FullSnapshot, count: len(m.Updates)}
 		w.Updates, w.Packed = nil, lists.pack(id, w.Updates)
 	}
 	return w
@@ -165,7 +171,8 @@
 
 func (w watermark) watermark() (dragonflypass.Watermark, error) {
 	m := dragonflypass.Watermark{
-		Topic: dragonflypass.Topic(w.Topic), EndOffset: dragonflypass.Offset(w.EndOffset), Loaded: w.Loaded, Staleness: time.Duration(w.Staleness), FullSnapshot: w.FullSnapshot, Withheld: w.Withheld,
+		Topic: dragonflypass.Topic(w.Topic), Era: dragonflypass.Era(w.Era), Version: w.Version, EndOffset: dragonflypass.Offset(w.EndOffset),
+		Loaded: w.Loaded, Staleness: time.Duration(w.Staleness), FullSnapshot: w.FullSnapshot, Withheld: w.Withheld,
 	}
 	updates := w.Updates
 	if len(w.Packed) > 0 {
--- a/adapter/messenger/messenger_test.go
+++ b/adapter/messenger/messenger_test.go
@@ -192,7 +192,7 @@
 			Service: "models", MaxEventGap: time.Second, PromptTokens: 5, Prefilled: true, Helpers: []dragonflypass.ServerID{"t"}, Parts: []dragonflypass.SharedPart{"p"},
 		}},
 		Watermarks: []dragonflypass.Watermark{{
-			Topic: dragonflypass.TopicServers, EndOffset: 12, Loaded: true, Staleness: time.Second, FullSnapshot: true,
+			Topic: dragonflypass.TopicServers, Era: 3, Version: 7, EndOffset: 12, Loaded: true, Staleness: time.Second, FullSnapshot: true,
 			Updates: []dragonflypass.Update{{Key: "s", Offset: 11, Raw: []byte("{}")}},
 		}},
 		Parts: []dragonflypass.PartStatus{
--- a/adapter/messenger/pack.go
+++ b/adapter/messenger/pack.go
@@ -27,9 +27,12 @@
 	lists map[listID][]byte
 }
 
-// listID identifies a list of updates: the topic up to the offset, and how many of its last updates the list has.
+// listID identifies a list of updates: the topic up to the offset in an era of the store, with the newest version that the VM
+// has, and how many of its last updates the list has.
 type listID struct {
 	topic        dragonflypass.Topic
+	era          dragonflypass.Era
+	version      uint64
 	endOffset    dragonflypass.Offset
 	fullSnapshot bool
 	count        int
--- a/core/detector/exchange.go
+++ b/core/detector/exchange.go
@@ -402,11 +402,11 @@
 	}
 }
 
-// isAhead reports whether the other VM has read a topic further than this one.
+// isAhead reports whether the other VM has read a topic further than this one, or has a newer version of a record.
 func isAhead(other, own []dragonflypass.Watermark) bool {
 	for _, theirs := range other {
 		for _, mine := range own {
-			if theirs.Topic == mine.Topic && theirs.Loaded && (!mine.Loaded || theirs.EndOffset > mine.EndOffset) {
+			if theirs.Topic == mine.Topic && (theirs.IsAhead(&mine) || theirs.HasNewerVersion(&mine)) {
 				return true
 			}
 		}
--- a/core/follower/follower.go
+++ b/core/follower/follower.go
@@ -68,6 +68,11 @@
 	IsReader func() bool
 	// Equal reports whether two records of a key have the same meaning, so that the newer one is not reported as a change.
 	Equal func(older, newer dragonflypass.Update) bool
+	// EraChanged is called with each newer era of the store that this VM learns of, with no lock held.
+	EraChanged func(dragonflypass.Era)
+	// PeerAnswerTime is how long after its start a VM waits for newer versions from other VMs before the topic counts as
+	// loaded, if the store states its era: a restored copy may be older than what the others have in force. Zero for no wait.
+	PeerAnswerTime time.Duration
 
 	mutex   locker.Mutex
 	records map[string]dragonflypass.Update
@@ -77,6 +82,19 @@
 	tombstonesFrom dragonflypass.Offset
 	endOffset      dragonflypass.Offset
 	loaded         bool
+	// era is the newest known era of the store, and copyEra the one in which the copy was read, to which endOffset belongs. The
+	// copy stays in use until the topic has been read in the newest era.
+	era     dragonflypass.Era
+	copyEra dragonflypass.Era
+	// restored is set once the store has been restored while this VM runs.
+	restored bool
+	// version is the highest version of the records, and peerVersion the highest one that another VM has reported.
+	version     uint64
+	peerVersion uint64
+	// applied is set once the listeners have applied the topic, and finishScheduled while the end of the wait for other VMs is
+	// scheduled.
+	applied         bool
+	finishScheduled bool
 	// freshAsOf is the uptime as of which the copy is known to be current: the start of the latest successful
 	// read by this VM or another one. appliedAsOf is that of the changes that the listeners have applied.
 	freshAsOf   time.Duration
@@ -92,7 +110,7 @@
 	startedAt time.Duration
 	// ownReadAt is the uptime before which a VM that is not a reader does not read the store.
 	ownReadAt time.Duration
-	// loadedDone is closed once the listeners have applied the first page.
+	// loadedDone is closed once the listeners have applied the first page and other VMs had time to answer.
 	loadedDone chan struct{}
 	listeners  []func([]dragonflypass.Update)
 	// undelivered holds the changes that the listeners have not received, in the order in which they were merged. The goroutine
@@ -104,7 +122,9 @@
 // change is the result of merging one page.
 type change struct {
 	// updates may be empty.
-	updates   []dragonflypass.Update
+	updates []dragonflypass.Update
+	// partial is set if the updates are only records of newer versions, which do not make the copy fresh.
+	partial   bool
 	freshAsOf time.Duration
 	source    dragonflypass.VMID
 }
@@ -114,6 +134,7 @@
 	return &Follower{
 		Topic: topic, Kind: kind,
 		Changed:    func(dragonflypass.VMID) {},
+		EraChanged: func(dragonflypass.Era) {},
 		loadedDone: make(chan struct{}),
 		mutex:      locker.Mutex{Order: locker.Configuration},
 		records:    make(map[string]dragonflypass.Update),
@@ -141,22 +162,25 @@
 // Poll reads the store once, unless another VM reads it and the copy is fresh enough.
 func (f *Follower) Poll(ctx context.Context) {
 	startedAt := f.Timer.Uptime()
-	from, wait, due := f.planRead(startedAt)
+	wait, due := f.planRead(startedAt)
 	if !due {
 		return
 	}
-	page, fullSnapshot, err := f.fetch(ctx, from, wait)
+	position := f.position()
+	page, fullSnapshot, err := f.fetch(ctx, position, wait)
 	if err != nil {
 		f.recordFailure(err)
 		return
 	}
+	// A response that does not state its era may have left the store before this VM learnt of a newer one.
+	page.Era = cmp.Or(page.Era, position.era)
 	f.applyPage(page, fullSnapshot, startedAt, "")
 }
 
-// planRead returns the offset to read from, how long the store may wait for a change, and whether this VM has to read
+// planRead returns how long the store may wait for a change, and whether this VM has to read
 // now. If a VM that is not a reader has to read, its copy is stale, so the store must answer at once: a read makes the
 // copy fresh only as of the start of the read.
-func (f *Follower) planRead(now time.Duration) (from dragonflypass.Offset, wait time.Duration, due bool) {
+func (f *Follower) planRead(now time.Duration) (wait time.Duration, due bool) {
 	policy, reader := f.PollPolicy(), f.IsReader()
 	f.mutex.Lock()
 	defer f.mutex.Unlock()
@@ -164,16 +188,16 @@
 	case !reader && f.loaded && now-f.freshAsOf <= policy.MaxStaleness:
 		// The next time that the copy is stale, the read starts after a random delay.
 		f.ownReadAt = f.freshAsOf + policy.MaxStaleness + policy.randomDelay(policy.MaxStaleness)
-		return f.endOffset, 0, false
+		return 0, false
 	case now < f.retryAt:
-		return f.endOffset, 0, false
+		return 0, false
 	case reader:
-		return f.endOffset, policy.LongPoll, true
+		return policy.LongPoll, true
 	case now < f.ownReadAt, !f.loaded && policy.HasPeers && now-f.startedAt < peerWaitTime:
-		return f.endOffset, 0, false
+		return 0, false
 	}
 	f.ownReadAt = now + policy.ReadInterval/2 + policy.randomDelay(policy.ReadInterval/2)
-	return f.endOffset, 0, true
+	return 0, true
 }
 
 // randomDelay returns a random duration below the read interval, so that a copy with the given staleness does not reach the
@@ -189,20 +213,24 @@
 	return rand.N(limit)
 }
 
-// fetch returns the changes since the offset, or the complete topic if the store no longer retains all of them or they do not fit
-// into one response: the topic is smaller then.
-func (f *Follower) fetch(ctx context.Context, from dragonflypass.Offset, wait time.Duration) (page dragonflypass.UpdatePage, fullSnapshot bool, err error) {
-	if f.Watermark().Loaded {
+// fetch returns the changes since the position, or the complete topic if the store has been restored, no longer retains all
+// changes, or they do not fit into one response: the topic is smaller then.
+func (f *Follower) fetch(ctx context.Context, from position, wait time.Duration) (page dragonflypass.UpdatePage, fullSnapshot bool, err error) {
+	if from.valid {
 		changesCtx, cancel := f.Timer.WithDeadline(ctx, f.Timer.Now().Add(wait+storeCallMargin))
 		defer cancel()
-		page, err = f.Store.Changes(changesCtx, f.Topic, from, wait)
-		if !errors.Is(err, dragonflypass.ErrTrimmed) && !errors.Is(err, dragonflypass.ErrTruncated) {
+		page, err = f.Store.Changes(changesCtx, f.Topic, from.offset, wait)
+		f.NoteEra(page.Era)
+		incomplete := errors.Is(err, dragonflypass.ErrTrimmed) || errors.Is(err, dragonflypass.ErrTruncated)
+		restored := err == nil && page.Era > from.era
+		if !incomplete && !restored {
 			return page, false, err
 		}
 	}
 	ctx, cancel := f.Timer.WithDeadline(ctx, f.Timer.Now().Add(snapshotMargin))
 	defer cancel()
 	page, err = f.Store.Latest(ctx, f.Topic)
+	f.NoteEra(page.Era)
 	return page, true, err
 }
 
@@ -221,16 +249,24 @@
 }
 
 // applyPage applies a page that makes the copy fresh as of the given uptime, and calls the listeners with the changes.
-// It ignores a page that ends before the copy does.
+// It ignores a page of an older era or that ends before the copy does, but for the newer versions that another VM has.
 func (f *Follower) applyPage(page dragonflypass.UpdatePage, fullSnapshot bool, freshAsOf time.Duration, source dragonflypass.VMID) {
+	var changed []dragonflypass.Update
 	f.mutex.Lock()
-	if f.loaded && page.EndOffset < f.endOffset {
-		f.mutex.Unlock()
-		return
+	if source != "" {
+		changed = f.mergeNewerVersions(page.Updates)
+	}
+	applicable, recovered := f.isApplicable(page, fullSnapshot), false
+	if applicable {
+		changed = append(changed, f.mergePage(page, fullSnapshot)...)
+		recovered = f.recordFresh(freshAsOf)
+	}
+	if !applicable && page.Era < f.era {
+		f.Meter.Add(dragonflypass.CountOldEraIgnored, 1)
+	}
+	if applicable || len(changed) > 0 {
+		f.undelivered = append(f.undelivered, change{updates: changed, partial: !applicable, freshAsOf: freshAsOf, source: source})
 	}
-	changed := f.mergePage(page, fullSnapshot)
-	recovered := f.recordFresh(freshAsOf)
-	f.undelivered = append(f.undelivered, change{updates: changed, freshAsOf: freshAsOf, source: source})
 	f.mutex.Unlock()
 	if recovered {
 		f.Logger.Info("store regained", "topic", f.Topic, "source", cmp.Or(source, "store"))
@@ -262,7 +298,7 @@
 				listener(next.updates)
 			}
 		}
-		f.recordApplied(next.freshAsOf)
+		f.recordApplied(next)
 		if len(next.updates) > 0 {
 			f.Changed(next.source)
 		}
@@ -271,60 +307,51 @@
 	f.delivering = false
 }
 
-// recordApplied records that the listeners have applied changes that were read as of the given uptime.
-func (f *Follower) recordApplied(freshAsOf time.Duration) {
+// recordApplied records that the listeners have applied the change.
+func (f *Follower) recordApplied(applied change) {
 	f.mutex.Lock()
 	defer f.mutex.Unlock()
-	f.appliedAsOf = max(f.appliedAsOf, freshAsOf)
-	if !f.Loaded() {
-		close(f.loadedDone)
+	if !applied.partial {
+		f.appliedAsOf = max(f.appliedAsOf, applied.freshAsOf)
+		f.applied = true
 	}
+	f.finishLoading()
 }
 
-// mergePage merges the page into the copy and returns the changed and removed records. A full snapshot also removes the
-// records that it does not contain. It is called with the mutex held.
-func (f *Follower) mergePage(page dragonflypass.UpdatePage, fullSnapshot bool) (changed []dragonflypass.Update) {
-	keys := make(map[string]bool, len(page.Updates))
-	for _, update := range page.Updates {
-		keys[update.Key] = true
-		old, ok := f.records[update.Key]
-		switch {
-		case ok && update.Offset <= old.Offset:
-		case len(update.Raw) == 0 && update.Err == nil:
-			if ok {
-				changed = append(changed, update)
-			}
-			f.remove(update.Key, update.Offset)
-		case ok && f.Equal(old, update):
-		default:
-			f.records[update.Key] = update
-			delete(f.tombstones, update.Key)
-			changed = append(changed, update)
-		}
+// finishLoading makes the topic count as loaded once the listeners have applied it and other VMs had time to answer. It is
+// called with the mutex held.
+func (f *Follower) finishLoading() {
+	if !f.applied || f.Loaded() {
+		return
 	}
-	if fullSnapshot {
-		for key := range f.records {
-			if !keys[key] {
-				f.remove(key, page.EndOffset)
-				changed = append(changed, dragonflypass.Update{Key: key, Offset: page.EndOffset})
-			}
-		}
-		// Records that were removed before are not in a snapshot.
-		f.tombstonesFrom = page.EndOffset
+	remaining := f.peerWait(f.Timer.Uptime() - f.startedAt)
+	if remaining <= 0 {
+		close(f.loadedDone)
+		return
 	}
-	f.endOffset, f.loaded = page.EndOffset, true
-	return changed
+	if f.finishScheduled {
+		return
+	}
+	f.finishScheduled = true
+	f.Timer.At(f.Kind, f.Timer.Now().Add(remaining), func(context.Context) {
+		f.mutex.Lock()
+		defer f.mutex.Unlock()
+		f.finishScheduled = false
+		f.finishLoading()
+	})
 }
 
-// remove deletes the record and keeps a tombstone. Above the limit it discards all tombstones, so that VMs that are
-// further behind get a full snapshot. It is called with the mutex held.
-func (f *Follower) remove(key string, offset dragonflypass.Offset) {
-	delete(f.records, key)
-	f.tombstones[key] = offset
-	if len(f.tombstones) > tombstoneLimit {
-		clear(f.tombstones)
-		f.tombstonesFrom = offset + 1
+// peerWait returns how much longer a VM that started the given time ago waits for other VMs. It is called with the mutex held.
+func (f *Follower) peerWait(age time.Duration) time.Duration {
+	switch {
+	case f.PeerAnswerTime == 0 || f.copyEra == 0:
+		return 0
+	case age < f.PeerAnswerTime:
+		return f.PeerAnswerTime - age
+	case f.peerVersion > f.version:
+		return peerWaitTime - age
 	}
+	return 0
 }
 
 // recordFresh advances the freshness of the copy and reports whether this ends a run of failed reads. It is called with
@@ -339,7 +366,7 @@
 	return recovered
 }
 
-// Loaded reports whether the topic has been read and applied at least once. It takes no lock, so it may be called with any
+// Loaded reports whether the topic has been read and applied at least once, and other VMs had time to answer. It takes no lock, so it may be called with any
 // held.
 func (f *Follower) Loaded() bool {
 	select {
@@ -378,49 +405,7 @@
 
 // watermark is Watermark for callers that hold the mutex.
 func (f *Follower) watermark(now time.Duration) dragonflypass.Watermark {
-	return dragonflypass.Watermark{Topic: f.Topic, EndOffset: f.endOffset, Loaded: f.loaded, Staleness: now - f.freshAsOf}
-}
-
-// MissingUpdates returns this VM's watermark, with the updates that a VM with the other watermark is missing, unless they
-// are large and all is not set. The updates are a full snapshot if the other VM has not read the topic, or is too far behind for the tombstones.
-func (f *Follower) MissingUpdates(other dragonflypass.Watermark, all bool) dragonflypass.Watermark {
-	now := f.Timer.Uptime()
-	f.mutex.Lock()
-	defer f.mutex.Unlock()
-	watermark := f.watermark(now)
-	if other.Loaded && other.EndOffset >= f.endOffset {
-		return watermark
-	}
-	watermark.FullSnapshot = !other.Loaded || other.EndOffset < f.tombstonesFrom
-	for _, update := range f.records {
-		if watermark.FullSnapshot || update.Offset >= other.EndOffset {
-			watermark.Updates = append(watermark.Updates, update)
-		}
-	}
-	for key, offset := range f.tombstones {
-		if !watermark.FullSnapshot && offset >= other.EndOffset {
-			watermark.Updates = append(watermark.Updates, dragonflypass.Update{Key: key, Offset: offset})
-		}
-	}
-	size := 0
-	for _, update := range watermark.Updates {
-		size += len(update.Raw)
-	}
-	if size > maxInlineBytes && !all {
-		watermark.Updates, watermark.Withheld = nil, true
-	}
-	return watermark
-}
-
-// HandleWatermark applies another VM's watermark, which it sent in response to a heartbeat that this VM sent at the
-// uptime sentAt. The staleness is counted from that time, so that the copy is never considered fresher than it is.
-func (f *Follower) HandleWatermark(sentAt time.Duration, watermark dragonflypass.Watermark, from dragonflypass.VMID) {
-	if !watermark.Loaded || watermark.Withheld {
-		return
-	}
-	page := dragonflypass.UpdatePage{EndOffset: watermark.EndOffset}
-	for _, update := range watermark.Updates {
-		page.Updates = append(page.Updates, f.Store.Decode(f.Topic, update.Key, update.Offset, update.Raw))
+	return dragonflypass.Watermark{
+		Topic: f.Topic, Era: f.copyEra, Version: f.version, EndOffset: f.endOffset, Loaded: f.loaded, Staleness: now - f.freshAsOf,
 	}
-	f.applyPage(page, watermark.FullSnapshot, sentAt-watermark.Staleness, from)
 }
--- a/metrics.go
+++ b/metrics.go
@@ -60,8 +60,12 @@
 	CountStoreCalls        Counter = "store_calls"
 	CountStoreFailed       Counter = "store_calls_failed"
 	CountRecordUnreadable  Counter = "records_unreadable"
-	CountServerDials       Counter = "server_connections_made"
-	CountForeignResponses  Counter = "foreign_answers_dropped"
+	// CountStoreRestored counts the restores of the store that this VM has learnt of, by topic, and CountOldEraIgnored the
+	// responses of the store and updates of other VMs that were ignored because they were of an older era.
+	CountStoreRestored    Counter = "store_restores"
+	CountOldEraIgnored    Counter = "store_old_era_ignored"
+	CountServerDials      Counter = "server_connections_made"
+	CountForeignResponses Counter = "foreign_answers_dropped"
 	// CountInvalid counts the requests that were refused while they were read, and CountRefusalUnwritten the refusals that
 	// could not be written to their callers.
 	CountInvalid          Counter = "requests_invalid"
--- a/vm.go
+++ b/vm.go
@@ -111,3 +111,22 @@
 	// FullSnapshot is set when the updates are the complete content of the topic.
 	FullSnapshot bool
 }
+
+// IsAhead reports whether w is of a later read of the topic than the other one: of a later era of the store, or of a higher
+// offset if the eras are the same or one of them is not known.
+func (w *Watermark) IsAhead(other *Watermark) bool {
+	switch {
+	case !w.Loaded || !other.Loaded:
+		return w.Loaded && !other.Loaded
+	case w.Era != other.Era && w.Era != 0 && other.Era != 0:
+		return w.Era > other.Era
+	}
+	return w.EndOffset > other.EndOffset
+}
+
+// HasNewerVersion reports whether the sender of w has a record of a higher version than that of the other one, which may
+// have read it from a restored store. It is false if the other VM does not send versions.
+func (w *Watermark) HasNewerVersion(other *Watermark) bool {
+	sendsVersions := other.Era != 0 || other.Version != 0
+	return w.Loaded && other.Loaded && sendsVersions && w.Version > other.Version
+}
