Register the VM again after a restore of the store

Cause: a VM wrote its record once, at its start; a restored store may lack it. Neither topic told the other one of a new era. Change: core/enroller takes over the registration from adapter/assembler and repeats it in each era, up to 2 s later, so that not all VMs write at once. Both topics and the enroller learn of an era from whichever topic shows it first.

--- a/adapter/assembler/relay.go
+++ b/adapter/assembler/relay.go
@@ -39,10 +39,6 @@
 	shutdownMargin = 500 * time.Millisecond
 	// refusalTime is the time before closing the ports in which the requests that have not ended are refused.
 	refusalTime = 200 * time.Millisecond
-	// registerTimeout is the maximum time of one attempt to register this VM in the store, and
-	// registerRetryInterval is the time between two attempts.
-	registerTimeout       = 2 * time.Second
-	registerRetryInterval = time.Second
 	// drainPollInterval is the time between two checks for requests in progress.
 	drainPollInterval = 50 * time.Millisecond
 )
@@ -202,25 +198,10 @@
 			n.adapters.Logger.Warn("metrics not served", "address", listen.Metrics, "error", err)
 		}
 	}
-	n.wg.Go(func() { n.register(ctx) })
 	n.adapters.Logger.Info("started", "build", Build(), "zone", n.Settings.Zone, "callers", listen.Callers, "peers", listen.Peers)
 	return nil
 }
 
-// register registers this VM in the store and retries until that succeeds.
-func (n *RelayNode) register(ctx context.Context) {
-	for ctx.Err() == nil {
-		registerCtx, cancel := context.WithTimeout(ctx, registerTimeout)
-		_, err := n.adapters.Store.RegisterMember(registerCtx, n.Settings.VM())
-		cancel()
-		if err == nil {
-			return
-		}
-		n.adapters.Logger.Warn("VM not registered in the store", "error", err)
-		n.wait(ctx, registerRetryInterval)
-	}
-}
-
 // serve opens the port and serves the handler on it.
 func (n *RelayNode) serve(address netip.AddrPort, handler http.Handler) error {
 	config := net.ListenConfig{KeepAlive: -1, Control: dialer.UserTimeout(callerUserTimeout)}
--- a/core/composer/relay.go
+++ b/core/composer/relay.go
@@ -15,6 +15,7 @@
 	"github.com/dragonflypass/dragonflypass/core/balancer"
 	"github.com/dragonflypass/dragonflypass/core/connector"
 	"github.com/dragonflypass/dragonflypass/core/detector"
+	"github.com/dragonflypass/dragonflypass/core/enroller"
 	"github.com/dragonflypass/dragonflypass/core/excluder"
 	"github.com/dragonflypass/dragonflypass/core/follower"
 	"github.com/dragonflypass/dragonflypass/core/handler"
@@ -82,6 +83,7 @@
 	Sharder     *sharder.Sharder
 	Budgets     *retrier.Budgets
 	Quarantiner *quarantiner.Quarantiner
+	Enroller    *enroller.Enroller
 
 	mutex locker.Mutex
 	// lastOwners maps each shard to its owner at the last change of the membership.
@@ -144,6 +146,7 @@
 	n.Budgets.VMs = func() int { return n.Detector.FleetSize() }
 	n.composeMembers()
 	n.composeTopics()
+	n.composeEras()
 	n.composeServers()
 	n.composeRelayer()
 	n.Detector.Subscribe(n.notifyNewOwners)
@@ -410,20 +413,6 @@
 	return slices.Contains(n.readers(topic), n.Options.Self.ID)
 }
 
-func equalTables(older, newer dragonflypass.Update) bool {
-	return older.Table != nil && newer.Table != nil && older.Table.Version == newer.Table.Version
-}
-
-// equalServers reports whether two entries are equal, ignoring the remaining warm-up time of the server.
-func equalServers(older, newer dragonflypass.Update) bool {
-	if older.Server == nil || newer.Server == nil {
-		return false
-	}
-	a, b := *older.Server, *newer.Server
-	a.WarmupTime, b.WarmupTime = 0, 0
-	return a == b
-}
-
 // costModel returns the cost model of the service's engines, or nil if the service has none.
 func (n *Relay) costModel(service dragonflypass.ServiceID) *dragonflypass.EngineCostModel {
 	table := n.Router.Current()
@@ -436,7 +425,7 @@
 // Run runs the components until ctx ends. The pool and the timer must be running already.
 func (n *Relay) Run(ctx context.Context) {
 	var wg sync.WaitGroup
-	for _, run := range []func(context.Context){n.Detector.Run, n.Routing.Run, n.Registry.Run, n.Registrar.Run, n.Allocator.Run, n.Excluder.Run, n.Prober.Run, n.Quarantiner.Run, n.Relayer.Run} {
+	for _, run := range []func(context.Context){n.Detector.Run, n.Routing.Run, n.Registry.Run, n.Registrar.Run, n.Allocator.Run, n.Excluder.Run, n.Prober.Run, n.Quarantiner.Run, n.Relayer.Run, n.Enroller.Run} {
 		wg.Go(func() { run(ctx) })
 	}
 	wg.Wait()
