Keep newer registry entries while servers write theirs again

Cause: a restored store may contain a server's entry from before its restart or before it began to drain. It replaced the newer one at once. Change: within the grace period after an outage or restore the newer entry stays in force; then the restored one is used if the server has not written its own. Measured: TestRestoredEntryDoesNotReplaceNewerOne fails on the code before and passes now.

--- a/core/registrar/registrar.go
+++ b/core/registrar/registrar.go
@@ -35,8 +35,10 @@
 
 type server struct {
 	entry dragonflypass.ServerEntry
-	// missing is set while the entry is missing from the registry after a store outage.
+	// missing is set while the entry is missing from the registry after an outage or a restore of the store.
 	missing bool
+	// restored is the older entry that a restored store contains, which replaces the newer one after the grace period, nil for none.
+	restored *dragonflypass.ServerEntry
 }
 
 // table contains the ready servers. It is immutable.
@@ -59,8 +61,8 @@
 	<-ctx.Done()
 }
 
-// ApplyUpdates applies changes of the registry to the table. A ready server whose entry is missing after a store outage
-// stays in the table for the grace period, since it may still be running.
+// ApplyUpdates applies changes of the registry to the table. A ready server whose entry is missing after an outage or a restore
+// of the store stays in the table for the grace period, since it may still be running, and an older entry waits for as long.
 func (r *Registrar) ApplyUpdates(updates []dragonflypass.Update) {
 	inGrace := r.inRecoveryGrace()
 	r.mutex.Lock()
@@ -68,12 +70,15 @@
 		id := dragonflypass.ServerID(update.Key)
 		current := r.servers[id]
 		switch {
+		case inGrace && current != nil && update.Server != nil && isOlder(update.Server, &current.entry):
+			current.restored, current.missing = update.Server, false
+			r.Logger.Info("older entry of backend server", "server", id, "born", update.Server.StartedAt, "state", update.Server.State)
 		case update.Server != nil:
 			r.logChange(current, update.Server)
 			r.servers[id] = &server{entry: *update.Server}
 		case current == nil:
 		case inGrace && update.Err == nil && current.entry.State == dragonflypass.ServerReady:
-			current.missing = true
+			current.restored, current.missing = nil, true
 			r.Logger.Info("backend server missing from the registry", "server", id)
 		default:
 			delete(r.servers, id)
@@ -85,6 +90,15 @@
 	r.Changed()
 }
 
+// isOlder reports whether the entry is from before another one of the same server: from an earlier run of its process, or
+// from before its shutdown began.
+func isOlder(entry, other *dragonflypass.ServerEntry) bool {
+	if entry.StartedAt != other.StartedAt {
+		return entry.StartedAt < other.StartedAt
+	}
+	return entry.State == dragonflypass.ServerReady && other.State == dragonflypass.ServerDraining
+}
+
 // logChange logs a server that is new, has restarted or has changed its state. It is called with the mutex held.
 func (r *Registrar) logChange(old *server, entry *dragonflypass.ServerEntry) {
 	if old != nil && old.entry.State == entry.State && old.entry.StartedAt == entry.StartedAt && !old.missing {
@@ -100,7 +114,8 @@
 	return recoveredAt > 0 && r.Timer.Uptime()-recoveredAt < recoveryGrace
 }
 
-// RemoveMissing removes the entries that are still missing after the grace period.
+// RemoveMissing removes the entries that are still missing after the grace period, and replaces those of which the registry still
+// has older ones.
 func (r *Registrar) RemoveMissing(context.Context) {
 	if r.inRecoveryGrace() {
 		return
@@ -112,6 +127,10 @@
 			delete(r.servers, id)
 			changed = true
 			r.Logger.Info("backend server removed", "server", id, "service", s.entry.Service, "reason", "lapsed")
+		} else if s.restored != nil {
+			r.logChange(s, s.restored)
+			r.servers[id] = &server{entry: *s.restored}
+			changed = true
 		}
 	}
 	if changed {
