Show the era of each topic to operators

Cause: nothing showed which era of the store a VM has read. Change: the state dump and dragonflyctl fleet show it. Measured: the tests of adapter/exposer and dragonflyctl pass.

--- a/adapter/exposer/dump.go
+++ b/adapter/exposer/dump.go
@@ -39,10 +39,12 @@
 // Topic describes the local copy of a topic of the store: the offset up to which it was read
 // and the time since it was last known to be current.
 type Topic struct {
-	Topic     dragonflypass.Topic `json:"topic"`
-	EndOffset uint64              `json:"end"`
-	Loaded    bool                `json:"known"`
-	Staleness int64               `json:"age_ms"`
+	Topic dragonflypass.Topic `json:"topic"`
+	// Era is the number of the store's era in which the copy was read, or "unknown".
+	Era       string `json:"era"`
+	EndOffset uint64 `json:"end"`
+	Loaded    bool   `json:"known"`
+	Staleness int64  `json:"age_ms"`
 	// Readers are the VMs that read the topic from the store.
 	Readers []dragonflypass.VMID `json:"readers"`
 }
@@ -156,7 +158,7 @@
 		OpenRequests: requests, RoutingVersion: s.Routing, QueuedRequests: s.QueuedRequests, Zones: s.ZoneSizes, Hubs: s.Hubs,
 	}
 	for _, t := range s.Topics {
-		d.Topics = append(d.Topics, Topic{Topic: t.Topic, EndOffset: uint64(t.EndOffset), Loaded: t.Loaded, Staleness: t.Staleness.Milliseconds(), Readers: t.Readers})
+		d.Topics = append(d.Topics, Topic{Topic: t.Topic, Era: t.Era.String(), EndOffset: uint64(t.EndOffset), Loaded: t.Loaded, Staleness: t.Staleness.Milliseconds(), Readers: t.Readers})
 	}
 	for _, m := range s.Members {
 		d.Members = append(d.Members, Member{VM: m.VM.ID, Zone: m.VM.Zone, Peer: m.VM.Peer, State: m.State.String(), LastHeartbeat: m.LastHeartbeat})
--- a/cmd/dragonflyctl/fleet.go
+++ b/cmd/dragonflyctl/fleet.go
@@ -42,9 +42,9 @@
 	for _, zone := range slices.Sorted(maps.Keys(d.Zones)) {
 		fmt.Fprintf(w, "%s\t%d\t%s\n", zone, d.Zones[zone], strings.Join(hubs[zone], " "))
 	}
-	fmt.Fprintln(w, "\ntopic\toffset\tcurrent\treaders")
+	fmt.Fprintln(w, "\ntopic\tera\toffset\tcurrent\treaders")
 	for _, t := range d.Topics {
-		fmt.Fprintf(w, "%s\t%d\t%s ago\t%s\n", t.Topic, t.EndOffset, time.Duration(t.Staleness)*time.Millisecond, joinVMs(t.Readers))
+		fmt.Fprintf(w, "%s\t%s\t%d\t%s ago\t%s\n", t.Topic, cmp.Or(t.Era, "unknown"), t.EndOffset, time.Duration(t.Staleness)*time.Millisecond, joinVMs(t.Readers))
 	}
 	fmt.Fprintf(w, "route table\t%d\n", d.RoutingVersion)
 	fmt.Fprintln(w, "\nservice\tshard\towner\tservers\tstreams\tslots\twait\tage")
--- a/core/composer/state.go
+++ b/core/composer/state.go
@@ -45,7 +45,9 @@
 
 // TopicState describes how far the node has read a topic of the store.
 type TopicState struct {
-	Topic     dragonflypass.Topic
+	Topic dragonflypass.Topic
+	// Era is the era of the store in which the local copy was read.
+	Era       dragonflypass.Era
 	EndOffset dragonflypass.Offset
 	Loaded    bool
 	// Staleness is the time since the local copy was last known to be current.
@@ -74,7 +76,7 @@
 	slices.SortFunc(s.Registry, func(x, y dragonflypass.ServerEntry) int { return cmp.Compare(x.ID, y.ID) })
 	s.Servers, s.QueuedRequests = n.Allocator.State()
 	for _, watermark := range []dragonflypass.Watermark{n.Routing.Watermark(), n.Registry.Watermark()} {
-		s.Topics = append(s.Topics, TopicState{Topic: watermark.Topic, EndOffset: watermark.EndOffset, Loaded: watermark.Loaded, Staleness: watermark.Staleness, Readers: n.readers(watermark.Topic)})
+		s.Topics = append(s.Topics, TopicState{Topic: watermark.Topic, Era: watermark.Era, EndOffset: watermark.EndOffset, Loaded: watermark.Loaded, Staleness: watermark.Staleness, Readers: n.readers(watermark.Topic)})
 	}
 	table := n.Router.Current()
 	if table == nil {
