--- a/cmd/dragonflypass/soak_test.go
+++ b/cmd/dragonflypass/soak_test.go
@@ -31,8 +31,8 @@
 )
 
 // TestSoak runs entry VMs as processes and injects faults from outside, in series and at the same time, that the seed
-// chooses: signals, restarts, faults of the store, of the servers and of the connections to them, changes of the
-// configuration. What callers receive and servers run must keep the guarantees throughout, and all must recover.
+// chooses: signals, restarts, faults and restores of the store, faults of the servers and of the connections to them, changes of
+// the configuration. What callers receive and servers run must keep the guarantees throughout, and all must recover.
 func TestSoak(t *testing.T) {
 	for seed := *soakFirst; seed < *soakFirst+uint64(*soakSeeds); seed++ {
 		t.Run(fmt.Sprint(seed), func(t *testing.T) {
@@ -182,7 +182,7 @@
 
 // injectFault starts a random fault that ends by itself.
 func (s *soak) injectFault() {
-	kind, duration := s.random.IntN(10), s.between(300*time.Millisecond, 3*time.Second)
+	kind, duration := s.random.IntN(11), s.between(300*time.Millisecond, 3*time.Second)
 	vm, choice := s.random.IntN(len(s.vms)), s.random.IntN(1<<20)
 	s.faults.Go(func() {
 		switch kind {
@@ -209,6 +209,13 @@
 			s.replaceServer(s.pickServer(choice), choice%2 == 0)
 		case 9:
 			s.configure("key-one")
+		case 10:
+			s.mutex.Lock()
+			servers := s.servers()
+			s.mutex.Unlock()
+			age := time.Duration(choice%5000) * time.Millisecond
+			s.restore(servers, age, duration/6, duration/2)
+			s.configure("key-one")
 		}
 	})
 }
@@ -303,14 +310,27 @@
 	}
 }
 
-// checkRevocation takes the key away while one VM does not reach the store. No request with it may run after the limit.
+// checkRevocation takes the key away while one VM does not reach the store. No request with it may run after the limit, nor after a
+// restore of the store from a copy in which the key is valid and a restart of a VM.
 func (s *soak) checkRevocation() {
 	const revokeLimit = 5 * time.Second
 	s.storeLinks[0].SetFault(interrupter.ResponsesLost)
+	copiedAt := time.Now()
 	s.configure("key-two")
 	time.Sleep(revokeLimit)
+	s.checkRevoked("limit")
+	s.storeLinks[0].SetFault(interrupter.Healthy)
+	s.restore(s.servers(), time.Since(copiedAt), 300*time.Millisecond, 0)
+	s.checkRevoked("restore")
+	s.signal(1, syscall.SIGKILL, 0)
+	s.waitFor(s.vms[1].ready)
+	s.checkRevoked("restart")
+}
+
+// checkRevoked checks that no VM runs a request with the key that was taken away.
+func (s *soak) checkRevoked(after string) {
 	for vm := range s.vms {
-		got := s.send(vm, "read", fmt.Sprintf("revoked-%d", vm), "key-one", 0)
+		got := s.send(vm, "read", fmt.Sprintf("revoked-%s-%d", after, vm), "key-one", 0)
 		s.c.Check(s.runs(got.id), qt.Equals, 0, qt.Commentf("%+v", got))
 	}
 }
--- a/standin/runner/runner.go
+++ b/standin/runner/runner.go
@@ -74,6 +74,8 @@
 	sequence        uint64
 	reservations    map[string]*reservation
 	stopped         bool
+	// state is the state in which the server is registered, empty if it is not.
+	state string
 }
 
 // reservation is KV memory reserved until it expires.
@@ -121,8 +123,20 @@
 	return nil
 }
 
-// register writes the server's entry to the log.
+// register writes the server's entry with the state to the log.
 func (r *Runner) register(state string) {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	r.state = state
+	r.writeEntry()
+}
+
+// writeEntry writes the server's entry to the log, or its removal if the server is not registered. It is called with the mutex held.
+func (r *Runner) writeEntry() {
+	if r.state == "" {
+		r.Store.Put(serverTopic, r.ID, nil)
+		return
+	}
 	entry, err := json.Marshal(struct {
 		Service   string `json:"service"`
 		Address   string `json:"address"`
@@ -130,7 +144,7 @@
 		State     string `json:"state"`
 		Slots     int    `json:"slots"`
 		StartedAt int64  `json:"born"`
-	}{r.Service, r.address.String(), r.Zone, state, r.slots(), r.startedAt.UnixMilli()})
+	}{r.Service, r.address.String(), r.Zone, r.state, r.slots(), r.startedAt.UnixMilli()})
 	if err != nil {
 		panic(err)
 	}
@@ -145,8 +159,15 @@
 	return plainServerSlots
 }
 
+// Reregister writes the server's entry, or its removal, again after a restore of the store.
+func (r *Runner) Reregister() {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	r.writeEntry()
+}
+
 // Unregister removes the server's entry, as its expiry does.
-func (r *Runner) Unregister() { r.Store.Put(serverTopic, r.ID, nil) }
+func (r *Runner) Unregister() { r.register("") }
 
 // Drain registers the server as draining; it continues to serve requests.
 func (r *Runner) Drain() { r.register("draining") }
