--- a/core/follower/era_test.go
+++ b/core/follower/era_test.go
@@ -174,6 +174,12 @@
 // TestOldEraProvesNothing has a VM that has not noticed a restore, with higher offsets, answer one that has. Its reads do not
 // show the changes of the new era, and its updates are lost. It must get the restored topic itself.
 func TestOldEraProvesNothing(t *testing.T) {
+	for _, fullSnapshot := range []bool{false, true} {
+		t.Run(fmt.Sprintf("full snapshot %t", fullSnapshot), func(t *testing.T) { testOldEraProvesNothing(t, fullSnapshot) })
+	}
+}
+
+func testOldEraProvesNothing(t *testing.T, fullSnapshot bool) {
 	synctest.Test(t, func(t *testing.T) {
 		c := qt.New(t)
 		store := fake.NewStore()
@@ -187,7 +193,7 @@
 		freshAsOf, _ := ahead.FreshAsOf()
 		time.Sleep(time.Second)
 		answer := behind.MissingUpdates(ahead.Watermark(), true)
-		answer.Staleness = 0
+		answer.Staleness, answer.FullSnapshot = 0, fullSnapshot
 		answer.Updates = append(answer.Updates, dragonflypass.Update{Key: "late", Offset: 1, Raw: []byte("x")})
 		ahead.HandleWatermark(ahead.Timer.Uptime(), answer, "vm-1")
 		after, _ := ahead.FreshAsOf()
