Do not pass on a copy of an unknown era

Cause: a VM that got the topic from one that sends no era, and then learnt the era from another VM, still passed its copy on and proved freshness with it; both counted for the newest era. Change: such a copy does not count as loaded towards other VMs, which send it the topic. Measured: TestCopyOfUnknownEraIsReplaced fails on the code before and passes now.

--- a/core/follower/era_test.go
+++ b/core/follower/era_test.go
@@ -382,3 +382,26 @@
 		})
 	}
 }
+
+// TestCopyOfUnknownEraIsReplaced has a VM that got the topic from one that sends no era learn the era from another one. Its copy
+// may be from before a restore, so it must neither prove freshness nor be passed on, and it must get the topic anew.
+func TestCopyOfUnknownEraIsReplaced(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		store := fake.NewStore()
+		putKey(store, "a")
+		ahead, f := newReader(store), newReader(store)
+		ahead.Poll(t.Context())
+		unknown := ahead.MissingUpdates(f.Watermark(), true)
+		unknown.Era, unknown.EndOffset = 0, 5
+		f.HandleWatermark(f.Timer.Uptime(), unknown, "vm-1")
+		c.Assert(f.Loaded(), qt.IsTrue)
+
+		answer := f.MissingUpdates(ahead.Watermark(), true)
+		c.Check(answer.Loaded, qt.IsFalse)
+		c.Check(answer.Updates, qt.HasLen, 0)
+		f.HandleWatermark(f.Timer.Uptime(), ahead.MissingUpdates(f.Watermark(), true), "vm-2")
+		c.Check(f.Watermark().EndOffset, qt.Equals, dragonflypass.Offset(1))
+		c.Check(f.Watermark().Era, qt.Equals, dragonflypass.Era(1))
+	})
+}
--- a/core/follower/follower.go
+++ b/core/follower/follower.go
@@ -403,9 +403,11 @@
 	return f.watermark(now)
 }
 
-// watermark is Watermark for callers that hold the mutex.
+// watermark is Watermark for callers that hold the mutex. A copy of an unknown era is not reported as loaded once an era is
+// known: other VMs would take it for a copy of that era.
 func (f *Follower) watermark(now time.Duration) dragonflypass.Watermark {
 	return dragonflypass.Watermark{
-		Topic: f.Topic, Era: f.copyEra, Version: f.version, EndOffset: f.endOffset, Loaded: f.loaded, Staleness: now - f.freshAsOf,
+		Topic: f.Topic, Era: f.copyEra, Version: f.version, EndOffset: f.endOffset,
+		Loaded: f.loaded && (f.copyEra != 0 || f.era == 0), Staleness: now - f.freshAsOf,
 	}
 }
--- a/core/follower/peer.go
+++ b/core/follower/peer.go
@@ -18,7 +18,7 @@
 	watermark := f.watermark(now)
 	isBehind := !other.Loaded || watermark.IsAhead(&other)
 	lacksVersion := watermark.HasNewerVersion(&other)
-	if !isBehind && !lacksVersion {
+	if !watermark.Loaded || !isBehind && !lacksVersion {
 		return watermark
 	}
 	hasOlderEra := other.Era != 0 && other.Era < f.copyEra
