Merge the reading of restored stores

Cause: no code read Store-Era: after a restore from an old copy, VMs kept offsets that were given out again, and a revoked key could come back on a VM that started meanwhile.

--- a/core/composer/evacuation.go
+++ b/core/composer/evacuation.go
@@ -9,7 +9,7 @@
 // request is served by a table without the evacuations that were read with it.
 func (n *Relay) composeEvacuator() {
 	e := evacuator.New()
-	e.Timer, e.Servers, e.Logger = n.Ports.Timer, n.Registrar, n.Ports.Logger
+	e.Timer, e.Servers, e.Logger, e.StoreRecoveredAt = n.Ports.Timer, n.Registrar, n.Ports.Logger, n.Routing.StoreRecoveredAt
 	n.Routing.Subscribe(e.ApplyUpdates)
 	n.Evacuator = e
 }
--- a/core/composer/relay.go
+++ b/core/composer/relay.go
@@ -16,6 +16,7 @@
 	"github.com/dragonflypass/dragonflypass/core/balancer"
 	"github.com/dragonflypass/dragonflypass/core/connector"
 	"github.com/dragonflypass/dragonflypass/core/detector"
+	"github.com/dragonflypass/dragonflypass/core/enroller"
 	"github.com/dragonflypass/dragonflypass/core/evacuator"
 	"github.com/dragonflypass/dragonflypass/core/excluder"
 	"github.com/dragonflypass/dragonflypass/core/follower"
@@ -93,6 +94,7 @@
 	Quarantiner *quarantiner.Quarantiner
 	Appraiser   *appraiser.Appraiser
 	Pacer       *pacer.Pacer
+	Enroller    *enroller.Enroller
 
 	mutex locker.Mutex
 	// lastOwners maps each shard to its owner at the last change of the membership.
@@ -153,6 +155,7 @@
 	n.Budgets.VMs = func() int { return n.Detector.FleetSize() }
 	n.composeMembers()
 	n.composeTopics()
+	n.composeEras()
 	n.composeServers()
 	n.composeRelayer()
 	n.connectEvacuator()
@@ -438,7 +441,7 @@
 // Run runs the components until ctx ends. The pool and the timer must be running already.
 func (n *Relay) Run(ctx context.Context) {
 	var wg sync.WaitGroup
-	for _, run := range []func(context.Context){n.Detector.Run, n.Routing.Run, n.Registry.Run, n.Registrar.Run, n.Allocator.Run, n.Excluder.Run, n.Throttler.Run, n.Prober.Run, n.Quarantiner.Run, n.Pacer.Run, n.Relayer.Run} {
+	for _, run := range []func(context.Context){n.Detector.Run, n.Routing.Run, n.Registry.Run, n.Registrar.Run, n.Allocator.Run, n.Excluder.Run, n.Throttler.Run, n.Prober.Run, n.Quarantiner.Run, n.Pacer.Run, n.Relayer.Run, n.Enroller.Run} {
 		wg.Go(func() { run(ctx) })
 	}
 	wg.Wait()
--- a/core/evacuator/evacuator_test.go
+++ b/core/evacuator/evacuator_test.go
@@ -46,6 +46,29 @@
 	c.Check(e.Evacuated("b"), qt.IsTrue)
 }
 
+// TestEvacuationOutlastsRestore guards against a zone that returns to service because the store was restored from a copy that is
+// older than the evacuation, and against one that stays evacuated although nobody writes the record again.
+func TestEvacuationOutlastsRestore(t *testing.T) {
+	for _, rewritten := range []bool{true, false} {
+		c := qt.New(t)
+		clock := fake.NewClock(time.Unix(1000, 0))
+		e := evacuator.New()
+		e.Timer, e.Logger = clock, fake.Logger{}
+		record := dragonflypass.Update{Key: "k-a", EvacuatedZone: "a"}
+		e.ApplyUpdates([]dragonflypass.Update{record})
+		restoredAt := clock.Uptime()
+		e.StoreRecoveredAt = func() time.Duration { return restoredAt }
+		e.ApplyUpdates([]dragonflypass.Update{{Key: "k-a"}})
+		clock.Run(clock.Now().Add(time.Second))
+		c.Check(e.Evacuated("a"), qt.IsTrue)
+		if rewritten {
+			e.ApplyUpdates([]dragonflypass.Update{record})
+		}
+		clock.Run(clock.Now().Add(5 * time.Second))
+		c.Check(e.Evacuated("a"), qt.Equals, rewritten)
+	}
+}
+
 // TestUnknownServerCountsAsEvacuated guards against a request that reaches an evacuated zone because the owner of the permit
 // knows the server, or its new address, before this VM does.
 func TestUnknownServerCountsAsEvacuated(t *testing.T) {
--- a/metrics.go
+++ b/metrics.go
@@ -75,6 +75,10 @@
 	// connection that was reset, or ended before the server had received the request.
 	CountMalformedResponses Counter = "answers_malformed"
 	CountUncleanEnds        Counter = "answers_cut_by_reset"
+	// CountStoreRestored counts the restores of the store that this VM has learnt of, by topic, and CountOldEraIgnored the
+	// responses of the store and updates of other VMs that were ignored because they were of an older era.
+	CountStoreRestored Counter = "store_restores"
+	CountOldEraIgnored Counter = "store_old_era_ignored"
 	// CountInvalid counts the requests that were refused while they were read, and CountRefusalUnwritten the refusals that
 	// could not be written to their callers.
 	CountInvalid          Counter = "requests_invalid"
