Order contested short prompts by their arrival

Cause: among contested short prompts the one with the latest start furthest away came first, so that prompts of medium length, which have to be divided, came before all others and used up the attempts of a dispatch. Change: newest arrival first; a prompt that has to be divided and could not be placed is tried again after 30 ms.

--- a/core/allocator/dispatch.go
+++ b/core/allocator/dispatch.go
@@ -22,8 +22,8 @@
 	// to place before it leaves the others queued.
 	longAttemptsPerDispatch  = 6
 	shortAttemptsPerDispatch = 4
-	// longRetryInterval is the time until a long prompt that could not be placed is tried again: an attempt compares all
-	// servers for all numbers of parts.
+	// longRetryInterval is the time until a prompt that has to be divided and could not be placed is tried again: an attempt
+	// compares all servers for all numbers of parts, and the prompts behind it are to be tried too.
 	longRetryInterval = 30 * time.Millisecond
 	// startMargin is the share of the time between the arrival of a short prompt and its first-token deadline by which its
 	// latest start is brought forward, because the end of a pass is predicted inexactly.
@@ -196,13 +196,13 @@
 		return permitResult{queued: q, err: a.overloadRefusal(q, now)}, true
 	}
 	short := c.isShort(q)
-	if *left.left(short) <= 0 || !short && (now.Before(c.longGrantsFrom) || now.Before(q.retryAt)) || !c.hasFreeSlot(usable) {
+	if *left.left(short) <= 0 || !short && now.Before(c.longGrantsFrom) || now.Before(q.retryAt) || !c.hasFreeSlot(usable) {
 		return permitResult{}, false
 	}
 	best, ok := c.bestPlacement(q, usable, short, now)
 	if !ok || best.firstToken.Add(c.minDecodeTime(q)).After(q.request.Deadline) || !a.acceptable(c, q, best, short, now) {
 		*left.left(short)--
-		if !short {
+		if !short || q.prefillTime > maxShortPartTime {
 			q.retryAt = now.Add(longRetryInterval)
 		}
 		return permitResult{}, false
--- a/core/arbiter/arbiter.go
+++ b/core/arbiter/arbiter.go
@@ -106,7 +106,7 @@
 	switch x.class {
 	case ShortOnTime:
 		if contested {
-			return y.LatestStart.Compare(x.LatestStart)
+			return y.QueuedAt.Compare(x.QueuedAt)
 		}
 		return x.LatestStart.Compare(y.LatestStart)
 	case LongOnTime:
