--- a/core/allocator/evacuation_test.go
+++ b/core/allocator/evacuation_test.go
@@ -97,3 +97,23 @@
 		}
 	}
 }
+
+// TestShardWithoutHealthyServersMovesRequests guards against permits for one crashed server of a zone after the other.
+func TestShardWithoutHealthyServersMovesRequests(t *testing.T) {
+	c := qt.New(t)
+	o := newOwner(3)
+	o.Balancer = fixedBalancer{part: dragonflypass.ShardPart{Zone: "b"}}
+	for _, entry := range o.entries {
+		o.Assessor.RecordOutcome(entry.ID, assessor.ConnectFailed)
+	}
+	now := o.clock.Now()
+	var result error
+	o.RequestPermit(dragonflypass.PermitRequest{
+		Stream: dragonflypass.StreamID{VM: "vm-1", Incarnation: 1, Sequence: 1}, Service: "m", Part: dragonflypass.ShardPart{Zone: "a"},
+		PromptTokens: 500, OutputTokens: 40, FirstTokenDeadline: now.Add(time.Second), Deadline: now.Add(10 * time.Second),
+	}, func(_ dragonflypass.Permit, err error) { result = err })
+	refusal, ok := dragonflypass.AsRefusal(result)
+	c.Assert(ok, qt.IsTrue)
+	c.Check(refusal.Reason, qt.Equals, dragonflypass.ReasonElsewhere)
+	c.Check(refusal.Part, qt.Equals, dragonflypass.ShardPart{Zone: "b"})
+}
