Use the usual terms for admission in names

Cause: patience, hopeless and put off are not terms of the field. Change: CallerTimeout, Unservable, postponeHeavy; no behavior differs. Measured: core/arbiter and core/allocator pass.

--- a/core/allocator/burst_test.go
+++ b/core/allocator/burst_test.go
@@ -15,7 +15,7 @@
 func TestBurstOfShortPromptsStaysOnTime(t *testing.T) {
 	c := qt.New(t)
 	const servers, perSecond, seconds = 4, 43, 8
-	const objective, patience, duration = 400 * time.Millisecond, 2 * time.Second, 2 * time.Second
+	const objective, callerTimeout, duration = 400 * time.Millisecond, 2 * time.Second, 2 * time.Second
 	o := newOwner(servers)
 	onTime, late, waitedInVain, requested := 0, 0, 0, 0
 	request := func() {
@@ -24,7 +24,7 @@
 		arrived, id, answered := o.clock.Now(), dragonflypass.StreamID{VM: "vm-1", Incarnation: 1, Sequence: o.sequence}, false
 		withdraw := o.RequestPermit(dragonflypass.PermitRequest{
 			Stream: id, Service: "m", PromptTokens: 500, OutputTokens: 40, MaxEventGap: time.Second,
-			FirstTokenDeadline: arrived.Add(objective), AbandonedAt: arrived.Add(patience), Deadline: arrived.Add(10 * time.Second),
+			FirstTokenDeadline: arrived.Add(objective), AbandonedAt: arrived.Add(callerTimeout), Deadline: arrived.Add(10 * time.Second),
 		}, func(permit dragonflypass.Permit, err error) {
 			answered = true
 			if err != nil {
@@ -42,7 +42,7 @@
 			o.clock.After(permit.TimeToFirstToken, func() { o.Prefilled(id) })
 			o.clock.After(duration, func() { o.release(id) })
 		})
-		o.clock.After(patience, func() {
+		o.clock.After(callerTimeout, func() {
 			if !answered {
 				waitedInVain++
 				withdraw()
--- a/core/allocator/dispatch.go
+++ b/core/allocator/dispatch.go
@@ -77,7 +77,7 @@
 	for i := range c.arranged {
 		p := &c.arranged[i]
 		q := c.queue[p.Index]
-		if arbiter.Hopeless(p, lateAhead, capacity, now) {
+		if arbiter.Unservable(p, lateAhead, capacity, now) {
 			results = append(results, permitResult{queued: q, err: a.overloadRefusal(q, now)})
 			continue
 		}
--- a/core/arbiter/arbiter.go
+++ b/core/arbiter/arbiter.go
@@ -72,7 +72,7 @@
 // (adaptive LIFO).
 //
 // Burst of long prompts: with earliest deadline first, one prompt that takes many servers makes all those behind it late.
-// The prompts with the most work for their value are put off until the others can be on time (Moore-Hodgson).
+// The prompts with the most work for their value are postponed until the others can be on time (Moore-Hodgson).
 func Arrange(prompts []Prompt, capacity Capacity, now time.Time) {
 	contested := false
 	for i := range prompts {
@@ -93,7 +93,7 @@
 		}
 	}
 	slices.SortStableFunc(prompts, func(x, y Prompt) int { return compare(&x, &y, contested) })
-	if putOff(prompts, capacity, now) {
+	if postponeHeavy(prompts, capacity, now) {
 		slices.SortStableFunc(prompts, func(x, y Prompt) int { return compare(&x, &y, contested) })
 	}
 }
@@ -122,9 +122,9 @@
 	return float64(p.Work) / max(p.Value, math.SmallestNonzeroFloat64)
 }
 
-// putOff moves the long prompts that make others late to the late ones, and reports whether there are any. The prompts
+// postponeHeavy moves the long prompts that make others late to the late ones, and reports whether there are any. The prompts
 // must be sorted.
-func putOff(prompts []Prompt, capacity Capacity, now time.Time) (changed bool) {
+func postponeHeavy(prompts []Prompt, capacity Capacity, now time.Time) (changed bool) {
 	servers := float64(max(1, capacity.LongServers))
 	first := slices.IndexFunc(prompts, func(p Prompt) bool { return p.class == LongOnTime })
 	if first < 0 {
@@ -179,11 +179,11 @@
 	return min(1, fullDelayCost/float64(max(1, promptTokens)))
 }
 
-// Hopeless reports whether a late short prompt behind the given number of other ones cannot start before it expires.
+// Unservable reports whether a late short prompt behind the given number of other ones cannot start before it expires.
 //
 // After the peak of a burst: callers that leave after waiting in vain return at once, while those that are rejected
 // return when there may be capacity.
-func Hopeless(p *Prompt, ahead int, capacity Capacity, now time.Time) bool {
+func Unservable(p *Prompt, ahead int, capacity Capacity, now time.Time) bool {
 	if p.class != ShortLate || capacity.LateRate <= 0 {
 		return false
 	}
--- a/core/arbiter/arbiter_test.go
+++ b/core/arbiter/arbiter_test.go
@@ -47,8 +47,8 @@
 	}, arbiter.Capacity{}), qt.DeepEquals, []int{2, 1, 0})
 }
 
-// TestHeavyPromptIsPutOff guards against one prompt that takes all servers and makes those behind it late.
-func TestHeavyPromptIsPutOff(t *testing.T) {
+// TestHeavyPromptIsPostponed guards against one prompt that takes all servers and makes those behind it late.
+func TestHeavyPromptIsPostponed(t *testing.T) {
 	c := qt.New(t)
 	prompts := []arbiter.Prompt{
 		{LatestStart: at(900), Work: 28 * time.Second, Value: 6},
@@ -67,10 +67,10 @@
 	prompts := []arbiter.Prompt{{Short: true, LatestStart: at(-1), Expires: at(1500)}}
 	capacity := arbiter.Capacity{LateRate: 10}
 	arbiter.Arrange(prompts, capacity, now)
-	c.Check(arbiter.Hopeless(&prompts[0], 10, capacity, now), qt.IsFalse)
-	c.Check(arbiter.Hopeless(&prompts[0], 20, capacity, now), qt.IsTrue)
+	c.Check(arbiter.Unservable(&prompts[0], 10, capacity, now), qt.IsFalse)
+	c.Check(arbiter.Unservable(&prompts[0], 20, capacity, now), qt.IsTrue)
 	// Nothing is known of the rate yet.
-	c.Check(arbiter.Hopeless(&prompts[0], 20, arbiter.Capacity{}, now), qt.IsFalse)
+	c.Check(arbiter.Unservable(&prompts[0], 20, arbiter.Capacity{}, now), qt.IsFalse)
 	for _, draw := range []float64{0, 0.5, 1} {
 		retryAfter := arbiter.RetryAfter(3*time.Second, draw)
 		c.Check(retryAfter > time.Second && retryAfter <= 3*time.Second, qt.IsTrue, qt.Commentf("%s", retryAfter))
--- a/core/relayer/stream.go
+++ b/core/relayer/stream.go
@@ -73,7 +73,7 @@
 	}
 	var abandonedAt time.Time
 	if !j.headWritten {
-		abandonedAt = e.Arrived.Add(j.route.Patience())
+		abandonedAt = e.Arrived.Add(j.route.CallerTimeout())
 	}
 	output, _ := r.Appraiser.Output(j.costKey(), shape.ExpectedTokens, shape.OutputTokens)
 	return dragonflypass.PermitRequest{
--- a/route.go
+++ b/route.go
@@ -66,17 +66,17 @@
 }
 
 const (
-	// minPatience, objectivePatience and gapPatience are the parts of the platform's rule for callers: one ends a stream
+	// minCallerTimeout, callerObjectives and callerGaps are the parts of the platform's rule for callers: one ends a stream
 	// that has brought no event for two seconds, four times the latency objective or eight times the longest event gap,
 	// whichever is longest.
-	minPatience       = 2 * time.Second
-	objectivePatience = 4
-	gapPatience       = 8
+	minCallerTimeout = 2 * time.Second
+	callerObjectives = 4
+	callerGaps       = 8
 )
 
-// Patience returns how long the caller of a stream waits for its first event.
-func (r *RoutePolicy) Patience() time.Duration {
-	return max(minPatience, objectivePatience*r.LatencyObjective, gapPatience*r.MaxEventGap)
+// CallerTimeout returns how long the caller of a stream waits for its first event.
+func (r *RoutePolicy) CallerTimeout() time.Duration {
+	return max(minCallerTimeout, callerObjectives*r.LatencyObjective, callerGaps*r.MaxEventGap)
 }
 
 // Retryable reports whether a request of the route may run more than once.
