--- a/Makefile
+++ b/Makefile
@@ -23,7 +23,7 @@
 	go test -race -short -count=1 -timeout 170s -skip '$(KNOWN_RED)' $(RACE)
 	$(if $(WITHOUT_RACE),go test -short -count=1 -timeout 170s -skip '$(KNOWN_RED)' $(WITHOUT_RACE))
 	-go test $(COMPOSER_RACE) -short -count=1 -timeout 170s -run '$(KNOWN_RED)' ./core/composer ./platform ./adapter/streamer ./adapter/invoker
-	go test -count=1 -timeout 100s -run 'TestInForceOnManyNodes|TestRandomSchedules|TestNoAdmittedRequestIsLate|TestTwoFaultsTogether|TestFleetRecoversFromBurst|TestLargeFleetKeepsRoutingFresh' -skip '$(KNOWN_RED_LONG)' ./core/composer ./core/claimer ./experiment/evaluator
+	go test -count=1 -timeout 100s -run 'TestInForceOnManyNodes|TestRandomSchedules|TestNoAdmittedRequestIsLate|TestTwoFaultsTogether|TestFleetRecoversFromBurst|TestLargeFleetKeepsRoutingFresh|TestRevokedKeyStaysRevokedAfterRestore|TestFleetFollowsRestoredStore|TestEvacuatedZonesReceiveNothing' -skip '$(KNOWN_RED_LONG)' ./core/composer ./core/claimer ./experiment/evaluator
 	-go test -count=1 -timeout 100s -run '$(KNOWN_RED_LONG)' ./core/composer
 
 lint:
--- a/core/composer/composer_test.go
+++ b/core/composer/composer_test.go
@@ -62,3 +62,11 @@
 		}
 	})
 }
+
+// sizes returns the sizes at which a test runs. The larger one runs without the race detector, as the tests of large fleets do.
+func sizes(small, large int) []int {
+	if testing.Short() {
+		return []int{small}
+	}
+	return []int{small, large}
+}
--- a/core/composer/era_test.go
+++ b/core/composer/era_test.go
@@ -22,7 +22,7 @@
 // TestRevokedKeyStaysRevokedAfterRestore restores the store from a copy from before a key was revoked. Neither the VMs that run
 // nor one that starts before the operator writes the configuration again may accept the key, and the other key must be accepted.
 func TestRevokedKeyStaysRevokedAfterRestore(t *testing.T) {
-	for _, nodes := range []int{3, 20} {
+	for _, nodes := range sizes(3, 20) {
 		t.Run(fmt.Sprint(nodes), func(t *testing.T) {
 			withRelaySite(t, nodes, 2, 1, func(c *qt.C, s *fake.RelaySite) {
 				s.WriteRouting([]string{fake.RelayKey, "revoked"})
@@ -62,7 +62,7 @@
 // TestFleetFollowsRestoredStore restores the store twice within two seconds, the second time during an outage. Every VM must
 // accept keys throughout, register itself again, and follow later changes, which have offsets that it has seen before.
 func TestFleetFollowsRestoredStore(t *testing.T) {
-	for _, nodes := range []int{3, 20} {
+	for _, nodes := range sizes(3, 20) {
 		t.Run(fmt.Sprint(nodes), func(t *testing.T) {
 			withRelaySite(t, nodes, 2, 1, func(c *qt.C, s *fake.RelaySite) {
 				time.Sleep(20 * time.Second)
--- a/core/composer/evacuation_test.go
+++ b/core/composer/evacuation_test.go
@@ -69,7 +69,7 @@
 // TestEvacuatedZonesReceiveNothing evacuates one zone and two zones under load, for a service with a single shard and one with
 // a shard for each zone. All requests must be answered, the running ones included, and a revoked zone is used again.
 func TestEvacuatedZonesReceiveNothing(t *testing.T) {
-	for _, modelServers := range []int{9, 45} {
+	for _, modelServers := range sizes(9, 45) {
 		for _, zones := range [][]dragonflypass.AvailabilityZone{{"a"}, {"a", "c"}} {
 			withRelaySite(t, 6, 6, modelServers, func(c *qt.C, s *fake.RelaySite) {
 				stop := load(c, s, "load", 0, 1, 2, 3, 4, 5)
