Send calls without identifiers to engines over connections of their own

Cause: the response to an order, a cancellation or a prompt part carries no identifier. After a malformed response, the second one that the engine had sent was still on the kept connection, and the next order took it for its own if it was faster than the transport's check of idle connections. Change: these calls use a connection each.

--- a/adapter/streamer/streamer.go
+++ b/adapter/streamer/streamer.go
@@ -35,8 +35,11 @@
 
 // Streamer calls model engines over HTTP.
 type Streamer struct {
-	client  *http.Client
-	reports *bounder.Budget
+	client *http.Client
+	// unshared sends the calls whose responses carry no identifier, over a connection each: a second response to an earlier call
+	// could be taken for the response to one of them.
+	unshared *http.Client
+	reports  *bounder.Budget
 }
 
 var _ dragonflypass.Engine = (*Streamer)(nil)
@@ -45,7 +48,9 @@
 func New() *Streamer {
 	transport := dialer.NewTransport(dialTimeout)
 	transport.MaxIdleConnsPerHost = idleConnLimit
-	return &Streamer{client: &http.Client{Transport: transport}, reports: bounder.NewBudget(reportBudgetBytes)}
+	unshared := dialer.NewTransport(dialTimeout)
+	unshared.DisableKeepAlives = true
+	return &Streamer{client: &http.Client{Transport: transport}, unshared: &http.Client{Transport: unshared}, reports: bounder.NewBudget(reportBudgetBytes)}
 }
 
 // Close closes the idle connections.
@@ -79,7 +84,7 @@
 	if err != nil {
 		return err
 	}
-	response, err := s.client.Do(request)
+	response, err := s.unshared.Do(request)
 	if err != nil {
 		return sendError(ctx, err)
 	}
@@ -191,7 +196,7 @@
 	if err != nil {
 		return eris.Wrap(dragonflypass.ErrRefused, err.Error())
 	}
-	response, err := s.client.Do(request)
+	response, err := s.unshared.Do(request)
 	if err != nil {
 		return sendError(ctx, err)
 	}
@@ -249,7 +254,7 @@
 	if err != nil {
 		return eris.Wrap(dragonflypass.ErrRefused, err.Error())
 	}
-	response, err := s.client.Do(request)
+	response, err := s.unshared.Do(request)
 	if err != nil {
 		return sendError(ctx, err)
 	}
