--- a/review/7/run.sh
+++ b/review/8/run.sh
@@ -5,4 +5,4 @@
 cd "$folder/../.." || exit 2
 export TROUBLE="${TROUBLE:-1}"
 [ -x target/dragonflypass ] && [ -x target/review-2/stage ] || { echo "run the build of deploy/system.toml and review/build-2.sh first" >&2; exit 2; }
-exec target/review-2/stage -record "$folder/record.txt" tenants
+exec target/review-2/stage -record "$folder/record.txt" herd
--- a/review/stage/main.go
+++ b/review/stage/main.go
@@ -22,9 +22,9 @@
 
 // cases are the cases by name. Each reports whether the rule was broken.
 var cases = map[string]func(*site, bool) (broken bool, err error){
-	"drip":    playDrip,
-	"heads":   playHeads,
-	"tenants": playTenants,
+	"drip":  playDrip,
+	"heads": playHeads,
+	"herd":  playHerd,
 }
 
 var errUnknownCase = errors.New("unknown case")
--- a/review/stage/server.go
+++ b/review/stage/server.go
@@ -22,11 +22,13 @@
 	id, service, zone string
 	address           string
 	// work is the time that a request takes.
-	work      time.Duration
-	site      *site
-	http      *http.Server
-	startedAt time.Time
-	running   atomic.Int32
+	work time.Duration
+	// deadlyPath is the path of requests that crash the server, empty for none.
+	deadlyPath string
+	site       *site
+	http       *http.Server
+	startedAt  time.Time
+	running    atomic.Int32
 
 	mutex   sync.Mutex
 	seq     int
@@ -97,6 +99,33 @@
 	b.site.store.Put(serversTopic, b.id, entry)
 }
 
+// crash ends the server, as the process of a real one, and starts it again at its address after some time.
+func (b *server) crash(id string) {
+	b.site.addDeadly(id)
+	b.site.record.add("server %s crashes under request %s", b.id, id)
+	b.mutex.Lock()
+	crashed := b.http
+	b.mutex.Unlock()
+	_ = crashed.Close()
+	time.AfterFunc(crashDowntime, func() {
+		listener, err := net.Listen("tcp", b.address)
+		if err != nil {
+			b.site.record.add("server %s does not start again: %s", b.id, err)
+			return
+		}
+		b.mutex.Lock()
+		defer b.mutex.Unlock()
+		if b.ended {
+			_ = listener.Close()
+			return
+		}
+		b.startedAt = time.Now()
+		b.http = &http.Server{Handler: b, ReadHeaderTimeout: time.Minute}
+		started := b.http
+		go func() { _ = started.Serve(listener) }()
+	})
+}
+
 // stop removes the entry and ends the server.
 func (b *server) stop() {
 	b.mutex.Lock()
@@ -108,6 +137,8 @@
 	}
 	close(b.stopped)
 	b.site.store.Put(serversTopic, b.id, nil)
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
 	_ = b.http.Close()
 }
 
@@ -133,6 +164,10 @@
 	if _, err := io.Copy(io.Discard, r.Body); err != nil {
 		return
 	}
+	if b.deadlyPath != "" && r.URL.Path == b.deadlyPath {
+		b.crash(id)
+		return
+	}
 	b.mutex.Lock()
 	b.arrivals = append(b.arrivals, arrival{id: id, tenant: r.Header.Get("Tenant"), at: time.Now()})
 	b.mutex.Unlock()
--- a/review/stage/site.go
+++ b/review/stage/site.go
@@ -47,6 +47,17 @@
 	mutex  sync.Mutex
 	closed bool
 	ports  map[int]bool
+
+	// deadly are the deadly requests that have reached servers.
+	deadlyMutex sync.Mutex
+	deadly      []deadlyArrival
+}
+
+// addDeadly records that a deadly request has reached a server.
+func (s *site) addDeadly(id string) {
+	s.deadlyMutex.Lock()
+	defer s.deadlyMutex.Unlock()
+	s.deadly = append(s.deadly, deadlyArrival{id: id, at: time.Now()})
 }
 
 func newSite(program string, record *record) (*site, error) {
