--- a/review/stage/client.go
+++ b/review/stage/client.go
@@ -9,15 +9,12 @@
 	"time"
 )
 
-// operatorTopic is the topic of the operator, and configKey the key of the configuration.
-const (
-	operatorTopic = "keyed.op"
-	configKey     = "config"
-)
+// configKey is the key of the configuration in the operator's topic.
+const configKey = "config"
 
 // configure writes a configuration of two plain routes. The tenants are given in JSON. It returns the time of the acknowledgement.
 func (s *site) configure(version int, tenants string) time.Time {
-	s.store.Put(operatorTopic, configKey, fmt.Appendf(nil, `{"version":%d,"routes":[`+
+	s.store.Put(names.Operator, configKey, fmt.Appendf(nil, `{"version":%d,"routes":[`+
 		`{"name":"look","hostname":%q,"path_prefix":"/look/","kind":"idempotent","timeout_ms":5000,"goal_ms":100,"priority":2,"service":"booking","max_attempts":2,"public":false},`+
 		`{"name":"book","hostname":%q,"path_prefix":"/book/","kind":"non_idempotent","timeout_ms":5000,"goal_ms":100,"priority":2,"service":"booking","max_attempts":1,"public":false}],`+
 		`"services":[{"name":"booking","health_path":"/health","max_conns":110,"protocol":"h1","tls":false}],`+
@@ -57,10 +54,10 @@
 		return reply{err: err}
 	}
 	request.Host = host
-	request.Header.Set("Attempt-Id", id)
-	request.Header.Set("Deadline-Ms", fmt.Sprint(deadline.Milliseconds()))
+	request.Header.Set(names.Attempt, id)
+	request.Header.Set(names.Deadline, fmt.Sprint(deadline.Milliseconds()))
 	if key != "" {
-		request.Header.Set("Authorization", "Bearer "+key)
+		request.Header.Set("Authorization", names.Bearer+key)
 	}
 	response, err := client.Do(request)
 	if err != nil {
@@ -68,5 +65,5 @@
 	}
 	defer func() { _ = response.Body.Close() }()
 	data, err := io.ReadAll(response.Body)
-	return reply{status: response.StatusCode, seal: response.Header.Get("Response-Seal"), body: string(data), err: err}
+	return reply{status: response.StatusCode, seal: response.Header.Get(names.Seal), body: string(data), err: err}
 }
--- a/review/stage/server.go
+++ b/review/stage/server.go
@@ -11,9 +11,6 @@
 	"time"
 )
 
-// serversTopic is the topic in which backend servers register.
-const serversTopic = "keyed.servers"
-
 // heartbeatInterval is the time between two entries of a server.
 const heartbeatInterval = 1200 * time.Millisecond
 
@@ -96,7 +93,7 @@
 	if err != nil {
 		return
 	}
-	b.site.store.Put(serversTopic, b.id, entry)
+	b.site.store.Put(names.Servers, b.id, entry)
 }
 
 // crash ends the server, as the process of a real one, and starts it again at its address after some time.
@@ -136,7 +133,7 @@
 		return
 	}
 	close(b.stopped)
-	b.site.store.Put(serversTopic, b.id, nil)
+	b.site.store.Put(names.Servers, b.id, nil)
 	b.mutex.Lock()
 	defer b.mutex.Unlock()
 	_ = b.http.Close()
@@ -155,8 +152,8 @@
 		w.Header().Set("Instance-Id", b.id)
 		return
 	}
-	id := r.Header.Get("Attempt-Id")
-	if expected := r.Header.Get("Expect-Instance"); expected != "" && expected != b.id {
+	id := r.Header.Get(names.Attempt)
+	if expected := r.Header.Get(names.Expected); expected != "" && expected != b.id {
 		w.Header().Set("Instance-Id", b.id)
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		return
@@ -169,13 +166,13 @@
 		return
 	}
 	b.mutex.Lock()
-	b.arrivals = append(b.arrivals, arrival{id: id, tenant: r.Header.Get("Tenant"), at: time.Now()})
+	b.arrivals = append(b.arrivals, arrival{id: id, tenant: r.Header.Get(names.Tenant), at: time.Now()})
 	b.mutex.Unlock()
 	running := b.running.Add(1)
 	defer b.running.Add(-1)
 	time.Sleep(b.work)
-	w.Header().Set("Attempt-Id", id)
-	w.Header().Set("Response-Seal", b.id+"."+id)
-	w.Header().Set("Server-Load", fmt.Sprintf("%d,0,6", running))
+	w.Header().Set(names.Attempt, id)
+	w.Header().Set(names.Seal, b.id+"."+id)
+	w.Header().Set(names.Load, fmt.Sprintf("%d,0,6", running))
 	_, _ = fmt.Fprintf(w, "done by %s", b.id)
 }
--- a/review/stage/site.go
+++ b/review/stage/site.go
@@ -241,7 +241,7 @@
 func (v *vm) ready() bool {
 	client := &http.Client{Timeout: time.Second}
 	defer client.CloseIdleConnections()
-	response, err := client.Get("http://" + v.probes + "/v1/readiness")
+	response, err := client.Get("http://" + v.probes + names.Readiness)
 	if err != nil {
 		return false
 	}
