--- a/review/stage/herd.go
+++ b/review/stage/herd.go
@@ -48,7 +48,7 @@
 	}
 	stop, clients := make(chan struct{}), sync.WaitGroup{}
 	for _, v := range s.vms {
-		clients.Go(func() { s.bookSteadily(v, key, stop) })
+		clients.Go(func() { s.bookSteadily(v, v.name, key, stop) })
 	}
 	number := 0
 	client := &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}
@@ -100,7 +100,8 @@
 }
 
 // bookSteadily sends ordinary bookings to the entry VM until stop is closed, and records those that a server had taken when it crashed.
-func (s *site) bookSteadily(v *vm, key string, stop chan struct{}) {
+// The identifiers of the bookings begin with the name.
+func (s *site) bookSteadily(v *vm, name, key string, stop chan struct{}) {
 	const interval, deadline = 50 * time.Millisecond, 2 * time.Second
 	client := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 1}}
 	for i := 0; ; i++ {
@@ -109,7 +110,7 @@
 			return
 		case <-time.After(interval):
 		}
-		id := fmt.Sprintf("%s-%05d", v.name, i)
+		id := fmt.Sprintf("%s-%05d", name, i)
 		if got := ask(client, v, http.MethodPost, "/book/x", id, key, deadline); got.status != http.StatusOK && s.hasRun(id) {
 			s.record.add("booking %s: a server has run it, but %s", id, got)
 		}
--- a/review/stage/main.go
+++ b/review/stage/main.go
@@ -22,9 +22,10 @@
 
 // cases are the cases by name. Each reports whether the rule was broken.
 var cases = map[string]func(*site, bool) (broken bool, err error){
-	"drip":  playDrip,
-	"heads": playHeads,
-	"herd":  playHerd,
+	"drip":   playDrip,
+	"heads":  playHeads,
+	"herd":   playHerd,
+	"rotate": playRotate,
 }
 
 var errUnknownCase = errors.New("unknown case")
