--- a/review/stage/rotate.go
+++ b/review/stage/rotate.go
@@ -9,7 +9,7 @@
 
 const (
 	// rotations is the number of times that the operator replaces the key of the tenant.
-	rotations = 2
+	rotations = 3
 	// applyTime is the time within which a configuration has to be in force.
 	applyTime = 2 * time.Second
 )
@@ -18,7 +18,7 @@
 func rotateKey(number int) string { return fmt.Sprintf("n2ctnfzs989anu6wsj%02d", number) }
 
 // playRotate lets a request come again and again that crashes the servers that run it, at the entry VMs in turn. With trouble, the
-// operator replaces the key of the tenant, twice, and the clients go on with the new one. The rule is broken if more than
+// operator replaces the key of the tenant, three times, and the clients go on with the new one. The rule is broken if more than
 // three retries reach servers once the request has crashed three.
 func playRotate(s *site, trouble bool) (broken bool, err error) {
 	const vms, servers = 6, 8
