--- a/review/stage/rotate.go
+++ b/review/stage/rotate.go
@@ -12,6 +12,8 @@
 	rotations = 3
 	// applyTime is the time within which a configuration has to be in force.
 	applyTime = 2 * time.Second
+	// bookingTime is the time that a booking takes at a server.
+	bookingTime = 100 * time.Millisecond
 )
 
 // rotateKey returns the key of the tenant after the given number of rotations.
@@ -23,7 +25,7 @@
 func playRotate(s *site, trouble bool) (broken bool, err error) {
 	const vms, servers = 6, 8
 	for i := range servers {
-		b, err := s.startServer(fmt.Sprintf("i-%d", i), "booking", string(rune('a'+i%3)), 15*time.Millisecond)
+		b, err := s.startServer(fmt.Sprintf("i-%d", i), "booking", string(rune('a'+i%3)), bookingTime)
 		if err != nil {
 			return false, err
 		}
